--- a/src/test/java/gradereach/PolicyTest.java
+++ b/src/test/java/gradereach/PolicyTest.java
@@ -67,13 +67,13 @@
     @Test
     void oneMoreIsOrderedAheadWhenBusyLanesRunOut() {
         FrontEnd fe = warm(1, 0, 0);
-        for (int i = 0; i < 40; i++) {
+        for (int i = 0; i < 100; i++) {
             fe.take(2100 + 50 * i, FrontEnd.RETRIABLE, mdl);
-            fe.end(2140 + 50 * i, fe.forwards.get(fe.forwards.size() - 1), Outcome.RETURNED);
+            fe.end(2146 + 50 * i, fe.forwards.get(fe.forwards.size() - 1), Outcome.RETURNED);
         }
-        fe.take(4200, FrontEnd.RETRIABLE, mdl);
+        fe.take(7200, FrontEnd.RETRIABLE, mdl);
         assertTrue(mdl.held.isEmpty());
-        fe.standing(4201, mdl, 1, 0, 0);
+        fe.standing(7201, mdl, 1, 0, 0);
         assertTrue(fe.count("hold") >= 1);
     }
 
