In-flight limit counts decided forwards at once; late inferences queue behind those in time

Cause: within one moment many held inferences were released to one executor, since its count rose only when they were sent; its limit recovered by a twentieth an answer; queues served the oldest first, so that in a burst everything came just too late.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -116,6 +116,7 @@
         mdl.lately.add(1, now, LATELY);
         hold(inf);
         alarms.set(now + earlyPoint(inf), inf);
+        alarms.set(lateFrom(inf), inf);
         alarms.set(lastMoment(inf), inf);
     }
 
@@ -129,6 +130,7 @@
         Inference inf = fwd.inference;
         fwd.executor.out.remove(fwd);
         fwd.copies.inFlight--;
+        fwd.executor.inFlight--;
         touched.add(inf.model);
         fwd.executor.reported(answer.report(), now);
         learn(fwd, answer);
@@ -174,7 +176,7 @@
             }
             case FULL -> {
                 c.shunnedUntil = now + SHUN;
-                health.distrusted(ex, 0.3, now);
+                health.full(ex);
             }
             case CONNECT_FAILED, RESET -> unreachable(ex);
             case ERROR, TIMED_OUT -> health.distrusted(ex, 0.3, now);
@@ -187,11 +189,11 @@
 
     private void paced(Pace pace, double took) {
         pace.answers++;
-        // The last 30 answers or so: few enough to follow a change, enough to tame a long tail.
-        pace.mean += (took - pace.mean) / Math.min(pace.answers, 30);
+        // The last 100 answers or so: the least of a shorter mean would be the luckiest, not the shortest.
+        pace.mean += (took - pace.mean) / Math.min(pace.answers, 100);
         // The shortest is forgotten by a hundredth a second, so that work that grew is noticed in the end.
         double grown = pace.shortest * (1 + 0.00001 * (now - pace.at));
-        pace.shortest = pace.answers < 10 ? pace.mean : Math.min(grown, pace.mean);
+        pace.shortest = pace.answers < 20 ? pace.mean : Math.min(grown, pace.mean);
         pace.at = now;
     }
 
@@ -307,18 +309,27 @@
     /** Two looks a second: reports are refreshed about as often, and a probe costs little. */
     private static final double PROBE_EVERY = 500;
 
+    /** What an answer still brings for its work. */
     private double worth(Inference inf) {
-        double late = now - inf.takenAt > inf.group.sloTime() ? inf.group.lateShare() : 1;
+        double late = now >= lateFrom(inf) ? inf.group.lateShare() : 1;
         return inf.group.value() * late * (inf.surplus ? shares.surplusValue() : 1) / expected(inf.model);
     }
 
-    /** Queues keep the order of coming, those beyond their customer's share behind the others. */
+    /** Sent later than this, the mean inference ends past its SLO time. */
+    private static double lateFrom(Inference inf) {
+        return inf.takenAt + inf.group.sloTime() - expected(inf.model);
+    }
+
+    /**
+     * Queues keep the order of coming, but for those that are late or beyond their customer's share: behind the
+     * others. Guards against a backlog in which everything is served just too late; harms the late ones only.
+     */
     private void hold(Inference inf) {
         inf.held = true;
         List<Inference> held = inf.model.held;
         int at = held.size();
-        while (at > 0 && (held.get(at - 1).surplus == inf.surplus ? held.get(at - 1).takenAt > inf.takenAt
-                : held.get(at - 1).surplus)) {
+        while (at > 0 && (worth(held.get(at - 1)) == worth(inf) ? held.get(at - 1).takenAt > inf.takenAt
+                : worth(held.get(at - 1)) < worth(inf))) {
             at--;
         }
         held.add(at, inf);
@@ -358,6 +369,7 @@
         unhold(inf);
         inf.next = c;
         c.inFlight++;
+        c.executor.inFlight++;
         wantedOut.add(inf);
     }
 
@@ -370,7 +382,7 @@
         Executor ex = c.executor;
         // Traffic follows distrust: passed over as often as it is distrusted.
         double distrust = ex.distrust.value(now, Health.DISTRUST_SPAN);
-        return rules.mayForward(inf, ex, expected(c.model), now) && ex.out.size() < health.limit(ex, now)
+        return rules.mayForward(inf, ex, expected(c.model), now) && ex.inFlight < health.limit(ex, now)
                 && (distrust < 0.02 || chance.nextDouble() >= distrust);
     }
 
@@ -518,7 +530,7 @@
         Report r = now - ex.reportAt < 4 * PROBE_EVERY ? ex.report : null;
         double use = r == null ? Double.NaN : !Double.isNaN(r.inFlight()) ? r.inFlight()
                 : !Double.isNaN(r.busy()) ? r.busy() : r.queued();
-        return (Double.isNaN(use) ? ex.out.size() : use) / ex.size / rules.capacityShare(ex, now);
+        return (Double.isNaN(use) ? ex.inFlight : use) / ex.size / rules.capacityShare(ex, now);
     }
 
     private static long rendezvous(Model mdl, Executor ex) {
@@ -580,6 +592,9 @@
         if (inf.held || inf.next != null) {
             if (now >= lastMoment(inf) - 0.5 && !inf.anyOut()) {
                 giveUp(inf);
+            } else if (inf.held && now >= lateFrom(inf)) {
+                unhold(inf);
+                hold(inf);
             }
             return;
         }
@@ -660,6 +675,7 @@
             inf.next = null;
             if (inf.done || !rules.mayForward(inf, c.executor, expected(c.model), now)) {
                 c.inFlight--;
+                c.executor.inFlight--;
                 if (!inf.done && !inf.anyOut()) {
                     hold(inf);
                 }
@@ -784,10 +800,15 @@
             ex.answers.add(1, now, TALLY_SPAN);
             double limit = Double.isNaN(ex.limit) ? FIRST_LIMIT : ex.limit;
             double ratio = Math.max(0.5, Math.min(1, FULL_STRETCH / stretch(ex, now)));
-            double grow = ex.out.size() + 1 >= limit / 2 ? 0.3 : 0;
+            double grow = ex.inFlight + 1 >= limit / 2 ? 1 : 0;
             ex.limit = Math.max(1, Math.min(64, limit + 0.2 * (limit * (ratio - 1) + grow)));
         }
 
+        /** Turned away: a good part less than what it held. */
+        void full(Executor ex) {
+            ex.limit = Math.max(1, 0.7 * ex.inFlight);
+        }
+
         /** Present over expected answer time, counting what is still out as if it ended now. */
         double stretch(Executor ex, double now) {
             double took = ex.took.value(now, TALLY_SPAN);
@@ -799,7 +820,8 @@
 
         double limit(Executor ex, double now) {
             double limit = Double.isNaN(ex.limit) ? FIRST_LIMIT : ex.limit;
-            return Math.max(1, limit * Math.min(1, FULL_STRETCH / stretch(ex, now)));
+            // Answers tell late of a stall; what is out tells at once, but only a wide gap counts.
+            return Math.max(1, limit * Math.min(1, 2 * FULL_STRETCH / stretch(ex, now)));
         }
 
         void distrusted(Executor ex, double more, double now) {
--- a/src/main/java/gradereach/state/Executor.java
+++ b/src/main/java/gradereach/state/Executor.java
@@ -17,6 +17,8 @@
     public int cell;
 
     public final List<Copies> copies = new ArrayList<>();
+    /** Our forwards there, those just decided included. */
+    public int inFlight;
     public final List<Forward> out = new ArrayList<>();
 
     public Report report;
