--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -54,7 +54,7 @@
         int frontEnds = Math.max(1, tier.frontEnds());
         rules = new Rules(coldStarts, ration, frontEnds, forwarding, new Recent(), new Recent());
         shares = new Shares(surplusValue, customers.stream().mapToDouble(c -> c.quotaPerSecond() / frontEnds)
-                .toArray(), new Fading[customers.size()]);
+                .toArray(), customers.stream().map(c -> new Fading()).toList());
         for (ModelGroup group : groups) {
             Pace pace = new Pace();
             // Until answers tell: a quarter of the SLO time, since an SLO leaves room for a wait and a tail.
@@ -82,14 +82,14 @@
             listings.forEach(line -> missing.remove(line.executor()));
             for (Executor ex : missing) {
                 ex.standing = Standing.GONE;
-                forget(ex);
+                ex.forgetCopies(now);
             }
         }
         for (Listing line : listings) {
             Executor ex = line.executor();
             executors.add(ex);
             if (line.standing() != Standing.READY || line.startedAt() != ex.startedAt) {
-                forget(ex);
+                ex.forgetCopies(now);
             }
             ex.standing = line.standing();
             ex.startedAt = line.startedAt();
@@ -129,8 +129,7 @@
     public void ended(Forward fwd, Answer answer) {
         Inference inf = fwd.inference;
         fwd.executor.out.remove(fwd);
-        fwd.copies.inFlight--;
-        fwd.executor.inFlight--;
+        fwd.copies.count(-1);
         touched.add(inf.model);
         fwd.executor.reported(answer.report(), now);
         learn(fwd, answer);
@@ -198,20 +197,10 @@
     }
 
     private void unreachable(Executor ex) {
-        forget(ex);
+        ex.forgetCopies(now);
         health.distrusted(ex, 0.9, now);
     }
 
-    /** What stood on an executor that went away or started anew is gone. */
-    private void forget(Executor ex) {
-        for (Copies c : ex.copies) {
-            c.warm = 0;
-            c.others.set(0, now);
-            touched.add(c.model);
-        }
-        ex.report = null;
-    }
-
     @Override
     public void woken(long tag) {
         wakeAt = Double.POSITIVE_INFINITY;
@@ -229,15 +218,8 @@
     @Override
     public void ordered(Executor ex, Model mdl, Outcome outcome, double took, int standing) {
         Copies c = mdl.on(ex);
-        boolean question = c.ordered == 0;
-        c.pending = false;
-        c.ordered = 0;
-        if (question) {
-            mdl.asksOut--;
-        } else {
-            holdsOut--;
-            mdl.holdsOut--;
-        }
+        boolean question = c.orderEnded();
+        holdsOut -= question ? 0 : 1;
         touched.add(mdl);
         switch (outcome) {
             case RETURNED, FULL, ERROR -> {
@@ -282,7 +264,7 @@
         List<Model> order = new ArrayList<>(touched);
         touched.clear();
         // Where room is short the queues with the most value for their work go first.
-        order.sort(Comparator.comparingDouble(mdl -> mdl.held.isEmpty() ? 0 : -worth(mdl.held.get(0))));
+        order.sort(Comparator.comparingDouble(mdl -> mdl.held.isEmpty() ? 0 : -worth(mdl.held.first())));
         for (Model mdl : order) {
             releaseHeld(mdl);
             provide(mdl);
@@ -311,11 +293,15 @@
 
     /** What an answer still brings for its work. */
     private double worth(Inference inf) {
-        double late = now >= lateFrom(inf) ? inf.group.lateShare() : 1;
+        double late = late(inf) ? inf.group.lateShare() : 1;
         return inf.group.value() * late * (inf.surplus ? shares.surplusValue() : 1) / expected(inf.model);
     }
 
-    /** Sent later than this, the mean inference ends past its SLO time. */
+    /** Sent now, the mean inference ends past its SLO time; a client's repeat counts from its first try. */
+    private boolean late(Inference inf) {
+        return inf.repeated || now >= lateFrom(inf);
+    }
+
     private static double lateFrom(Inference inf) {
         return inf.takenAt + inf.group.sloTime() - expected(inf.model);
     }
@@ -325,14 +311,10 @@
      * others. Guards against a backlog in which everything is served just too late; harms the late ones only.
      */
     private void hold(Inference inf) {
+        unhold(inf);
         inf.held = true;
-        List<Inference> held = inf.model.held;
-        int at = held.size();
-        while (at > 0 && (worth(held.get(at - 1)) == worth(inf) ? held.get(at - 1).takenAt > inf.takenAt
-                : worth(held.get(at - 1)) < worth(inf))) {
-            at--;
-        }
-        held.add(at, inf);
+        inf.behind = (inf.surplus ? 2 : 0) + (late(inf) ? 1 : 0);
+        inf.model.held.add(inf);
         waiting.add(inf.model);
     }
 
@@ -354,13 +336,22 @@
     }
 
     private void releaseHeld(Model mdl) {
-        for (Inference inf : List.copyOf(mdl.held)) {
-            Copies c = busiest(mdl, inf, null);
-            if (c == null && now - inf.takenAt >= earlyPoint(inf)) {
+        boolean lanes = true;
+        boolean room = true;
+        for (Inference inf : mdl.held.isEmpty() ? List.<Inference>of() : List.copyOf(mdl.held)) {
+            // In a long queue the first that finds nothing speaks for the rest, but for those with a past.
+            boolean fresh = inf.forwards.isEmpty();
+            boolean early = now - inf.takenAt >= earlyPoint(inf);
+            Copies c = lanes || !fresh ? busiest(mdl, inf, null) : null;
+            lanes &= c != null || !fresh;
+            if (c == null && early && (room || !fresh)) {
                 c = leastBusy(mdl, inf);
+                room &= c != null || !fresh;
             }
             if (c != null) {
                 send(inf, c);
+            } else if (!lanes && !room) {
+                return;
             }
         }
     }
@@ -368,8 +359,7 @@
     private void send(Inference inf, Copies c) {
         unhold(inf);
         inf.next = c;
-        c.inFlight++;
-        c.executor.inFlight++;
+        c.count(1);
         wantedOut.add(inf);
     }
 
@@ -444,16 +434,20 @@
 
     /** Orders one more when the counted lanes run out. */
     private void provide(Model mdl) {
+        if (mdl.holdsOut >= MODEL_LOADS || holdsOut >= TOTAL_LOADS || !rules.mayOrder(now)) {
+            return;
+        }
         int lanes = 0;
         int free = 0;
         int coming = 0;
         double load = 0;
         for (Copies c : mdl.copies) {
-            if (c.executor.standing == Standing.READY) {
+            if (c.warm + c.ordered + c.inFlight > 0 && c.executor.standing == Standing.READY) {
+                double here = load(c);
                 lanes += c.warm * mdl.lanes;
-                free += Math.max(0, (int) (c.warm * mdl.lanes - load(c) + 0.5));
+                free += Math.max(0, (int) (c.warm * mdl.lanes - here + 0.5));
                 coming += Math.max(0, c.ordered - c.warm) * mdl.lanes;
-                load += load(c);
+                load += here;
             }
         }
         int held = mdl.held.size();
@@ -465,14 +459,12 @@
         }
         if (now - mdl.askedAt > ASK_EVERY) {
             mdl.askedAt = now;
-            for (Executor ex : executors) {
-                Copies c = mdl.on(ex);
-                if (ex.standing == Standing.READY && !c.pending && now - c.heardAt > ASK_EVERY / 2) {
+            for (Copies c : nearest(mdl).subList(0, Math.min(ASK_WIDTH, executors.size()))) {
+                if (c.executor.standing == Standing.READY && !c.pending && now - c.heardAt > ASK_EVERY / 2) {
                     want(c, 0);
                 }
             }
-        } else if ((mdl.asksOut == 0 || now - mdl.askedAt > ASK_PATIENCE) && rules.mayOrder(now)
-                && mdl.holdsOut < MODEL_LOADS && holdsOut < TOTAL_LOADS) {
+        } else if (mdl.asksOut == 0 || now - mdl.askedAt > ASK_PATIENCE) {
             Copies c = place(mdl);
             if (c != null) {
                 want(c, Math.min(16, c.warm + 1));
@@ -485,8 +477,10 @@
     private static final int TOTAL_LOADS = 8;
     /** Lanes that are out for a moment only are worth a short wait, not a load that outlasts it. */
     private static final double LANES_BUSY = 0.5;
-    /** Asking what stands is cheap beside a load, but a dozen executors answer: not more often than this. */
+    /** Asking what stands is cheap beside a load, but each one asked answers: not more often than this. */
     private static final double ASK_EVERY = 4000;
+    /** Orders go to the first in rendezvous order, so what stands does so on the first few. */
+    private static final int ASK_WIDTH = 8;
     /** A few network trips; one that stalls is not waited for. */
     private static final double ASK_PATIENCE = 15;
 
@@ -495,35 +489,32 @@
         return Math.max(1000, loading.keepsIdleFor());
     }
 
+    /** Every executor's copies of a model, in its rendezvous order. */
+    private List<Copies> nearest(Model mdl) {
+        if (mdl.copies.size() < executors.size()) {
+            executors.forEach(mdl::on);
+            mdl.copies.sort(Comparator.comparingLong(c -> rendezvous(mdl, c.executor)));
+        }
+        return mdl.copies;
+    }
+
     /** First in the model's rendezvous order whose use is not far above the mean. */
     private Copies place(Model mdl) {
-        double sum = 0;
-        int heard = 0;
-        for (Executor ex : executors) {
-            double use = ex.standing == Standing.READY ? use(ex) : Double.NaN;
-            if (!Double.isNaN(use)) {
-                sum += use;
-                heard++;
-            }
-        }
-        Copies first = null;
-        boolean firstFits = false;
-        for (Executor ex : executors) {
-            Copies c = mdl.on(ex);
+        double mean = executors.stream().filter(rules::mayOrderOn).mapToDouble(this::use).average().orElse(0);
+        Copies least = null;
+        for (Copies c : nearest(mdl)) {
+            Executor ex = c.executor;
             if (!rules.mayOrderOn(ex) || c.pending || now < c.shunnedUntil
                     || ex.distrust.value(now, Health.DISTRUST_SPAN) > 0.5) {
                 continue;
             }
-            // An unheard one counts as average. Half above the mean is within the reports' noise.
-            double use = use(ex);
-            boolean fits = Double.isNaN(use) || use <= 1.5 * sum / heard;
-            if (first == null || fits && !firstFits
-                    || fits == firstFits && rendezvous(mdl, ex) < rendezvous(mdl, first.executor)) {
-                first = c;
-                firstFits = fits;
+            // Half above the mean is within the reports' noise.
+            if (use(ex) <= 1.5 * mean) {
+                return c;
             }
+            least = least == null || use(ex) < use(least.executor) ? c : least;
         }
-        return first;
+        return least;
     }
 
     private double use(Executor ex) {
@@ -593,7 +584,6 @@
             if (now >= lastMoment(inf) - 0.5 && !inf.anyOut()) {
                 giveUp(inf);
             } else if (inf.held && now >= lateFrom(inf)) {
-                unhold(inf);
                 hold(inf);
             }
             return;
@@ -644,7 +634,8 @@
         wantedCancelled.clear();
         for (Inference inf : wantedAnswered) {
             if (!inf.done && inf.verdict == Verdict.SHED) {
-                out.shed(inf, 0);
+                // It was held to the last: what comes back at once finds the same crowd.
+                out.shed(inf, forwarding.clientsHearPause() ? forwarding.longestPause() : 0);
             } else if (!inf.done) {
                 out.fail(inf);
             }
@@ -657,14 +648,9 @@
                     || !asks && !(rules.mayOrderOn(c.executor) && rules.mayOrder(now))) {
                 continue;
             }
-            c.pending = true;
-            c.ordered = c.wanted;
-            c.orderedAt = now;
-            if (asks) {
-                c.model.asksOut++;
-            } else {
+            c.orderSent(now);
+            if (!asks) {
                 rules.orders().add(1, now);
-                c.model.holdsOut++;
                 holdsOut++;
             }
             out.order(c.executor, c.model, c.wanted);
@@ -674,8 +660,7 @@
             Copies c = inf.next;
             inf.next = null;
             if (inf.done || !rules.mayForward(inf, c.executor, expected(c.model), now)) {
-                c.inFlight--;
-                c.executor.inFlight--;
+                c.count(-1);
                 if (!inf.done && !inf.anyOut()) {
                     hold(inf);
                 }
@@ -811,11 +796,16 @@
 
         /** Present over expected answer time, counting what is still out as if it ended now. */
         double stretch(Executor ex, double now) {
+            if (ex.stretchAt == now) {
+                return ex.stretch;
+            }
             double took = ex.took.value(now, TALLY_SPAN);
             for (Forward fwd : ex.out) {
                 took += (now - fwd.sentAt) / fwd.hope;
             }
-            return (CREDIT + took) / (CREDIT + ex.answers.value(now, TALLY_SPAN));
+            ex.stretchAt = now;
+            ex.stretch = (CREDIT + took) / (CREDIT + ex.answers.value(now, TALLY_SPAN));
+            return ex.stretch;
         }
 
         double limit(Executor ex, double now) {
@@ -837,7 +827,7 @@
     // ---- shares ----------------------------------------------------------------------------------------
 
     /** Whose inferences are beyond their customer's share, by this front end's part of the quota. */
-    private record Shares(double surplusValue, double[] rates, Fading[] taken) {
+    private record Shares(double surplusValue, double[] rates, List<Fading> taken) {
         /** A few seconds, so that a short crowd at the door is not yet a surplus. */
         private static final double SPAN = 3000;
 
@@ -845,9 +835,8 @@
             if (i < 0 || i >= rates.length || rates[i] <= 0) {
                 return false;
             }
-            taken[i] = taken[i] == null ? new Fading() : taken[i];
-            boolean surplus = taken[i].value(now, SPAN) >= rates[i] * SPAN / 1000;
-            taken[i].add(surplus ? 0 : 1, now, SPAN);
+            boolean surplus = taken.get(i).value(now, SPAN) >= rates[i] * SPAN / 1000;
+            taken.get(i).add(surplus ? 0 : 1, now, SPAN);
             return surplus;
         }
     }
--- a/src/main/java/gradereach/state/Copies.java
+++ b/src/main/java/gradereach/state/Copies.java
@@ -34,4 +34,29 @@
         this.model = model;
         this.executor = executor;
     }
+
+    /** Forwards more or fewer, here and on the executor. */
+    public void count(int more) {
+        inFlight += more;
+        executor.inFlight += more;
+    }
+
+    /** What is wanted has been asked of the executor. */
+    public void orderSent(double now) {
+        pending = true;
+        ordered = wanted;
+        orderedAt = now;
+        model.holdsOut += ordered > 0 ? 1 : 0;
+        model.asksOut += ordered > 0 ? 0 : 1;
+    }
+
+    /** The order has its answer; true if it was a question only. */
+    public boolean orderEnded() {
+        boolean question = ordered == 0;
+        model.holdsOut -= question ? 0 : 1;
+        model.asksOut -= question ? 1 : 0;
+        pending = false;
+        ordered = 0;
+        return question;
+    }
 }
--- a/src/main/java/gradereach/state/Executor.java
+++ b/src/main/java/gradereach/state/Executor.java
@@ -30,6 +30,9 @@
     public final Fading answers = new Fading();
     public final Fading took = new Fading();
     public double answeredAt = Double.NEGATIVE_INFINITY;
+    /** Present over expected answer time, as worked out at {@code stretchAt}. */
+    public double stretch = 1;
+    public double stretchAt = Double.NaN;
     /** Most of our forwards at once; NaN before the first answer. */
     public double limit = Double.NaN;
     public final Fading distrust = new Fading();
@@ -47,4 +50,13 @@
             reportAt = now;
         }
     }
+
+    /** It went away or started anew: nothing stands there. */
+    public void forgetCopies(double now) {
+        for (Copies c : copies) {
+            c.warm = 0;
+            c.others.set(0, now);
+        }
+        report = null;
+    }
 }
--- a/src/main/java/gradereach/state/Fading.java
+++ b/src/main/java/gradereach/state/Fading.java
@@ -6,7 +6,7 @@
     private double at;
 
     public double value(double now, double span) {
-        return sum * Math.exp((at - now) / span);
+        return sum == 0 ? 0 : sum * Math.exp((at - now) / span);
     }
 
     public void add(double more, double now, double span) {
--- a/src/main/java/gradereach/state/Inference.java
+++ b/src/main/java/gradereach/state/Inference.java
@@ -2,10 +2,14 @@
 
 import gradereach.api.ModelGroup;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 /** An inference that was taken and is owed one final answer. */
 public final class Inference {
+    static final Comparator<Inference> QUEUE = Comparator.<Inference>comparingInt(inf -> inf.behind)
+            .thenComparingDouble(inf -> inf.takenAt).thenComparingLong(inf -> inf.id);
+
     public final long id;
     public final ModelGroup group;
     /** Index of its customer. */
@@ -22,6 +26,8 @@
     public boolean done;
     public boolean streaming;
     public boolean held;
+    /** Its place behind others in its queue; 0 is the front. */
+    public int behind;
     /** Beyond its customer's share when it came. */
     public boolean surplus;
     /** Where it should go next, null for nowhere. */
--- a/src/main/java/gradereach/state/Model.java
+++ b/src/main/java/gradereach/state/Model.java
@@ -3,6 +3,7 @@
 import gradereach.api.ModelGroup;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeSet;
 
 /** A model that an inference has named: lives as long as the instance. */
 public final class Model {
@@ -16,7 +17,7 @@
     public Pace groupPace;
     public final Pace pace = new Pace();
 
-    public final List<Inference> held = new ArrayList<>();
+    public final TreeSet<Inference> held = new TreeSet<>(Inference.QUEUE);
     /** In the order in which they were first heard of. */
     public final List<Copies> copies = new ArrayList<>();
     /** Inferences taken, over a long and a short span. */
