Time without an answer counts against an executor; a full answer cuts its limit only downwards

Cause: an executor that crawled eight times slower kept its share, since forwards that ended without an answer left no trace, and 'full' set the limit from what was in flight, also upwards; a full executor was tried again at once. Also: renewals for whatever came more than once.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -112,7 +112,7 @@
         }
         rules.taken().add(1, now);
         inf.surplus = shares.surplus(inf.customer, now);
-        mdl.taken.add(1, now, rateSpan());
+        mdl.count++;
         mdl.lately.add(1, now, LATELY);
         hold(inf);
         alarms.set(now + earlyPoint(inf), inf);
@@ -176,9 +176,15 @@
             case FULL -> {
                 c.shunnedUntil = now + SHUN;
                 health.full(ex);
+                health.distrusted(ex, 0.3, now);
             }
             case CONNECT_FAILED, RESET -> unreachable(ex);
-            case ERROR, TIMED_OUT -> health.distrusted(ex, 0.3, now);
+            case ERROR -> health.distrusted(ex, 0.3, now);
+            case TIMED_OUT, CANCELLED -> {
+                // Guards against an executor that never answers: what ended without one still counts as time.
+                ex.took.add(answer.took() / fwd.hope, now, Health.TALLY_SPAN);
+                health.distrusted(ex, answer.outcome() == Outcome.CANCELLED ? 0 : 0.3, now);
+            }
             default -> { }
         }
         if (answer.outcome() != Outcome.TIMED_OUT && answer.outcome() != Outcome.CANCELLED) {
@@ -307,8 +313,7 @@
     }
 
     /**
-     * Queues keep the order of coming, but for those that are late or beyond their customer's share: behind the
-     * others. Guards against a backlog in which everything is served just too late; harms the late ones only.
+     * Queues keep the order of coming, those late or beyond their customer's share behind the others. Guards against a backlog in which everything is served just too late; harms the late ones only.
      */
     private void hold(Inference inf) {
         unhold(inf);
@@ -338,7 +343,7 @@
     private void releaseHeld(Model mdl) {
         boolean lanes = true;
         boolean room = true;
-        for (Inference inf : mdl.held.isEmpty() ? List.<Inference>of() : List.copyOf(mdl.held)) {
+        for (Inference inf : List.copyOf(mdl.held)) {
             // In a long queue the first that finds nothing speaks for the rest, but for those with a past.
             boolean fresh = inf.forwards.isEmpty();
             boolean early = now - inf.takenAt >= earlyPoint(inf);
@@ -372,7 +377,8 @@
         Executor ex = c.executor;
         // Traffic follows distrust: passed over as often as it is distrusted.
         double distrust = ex.distrust.value(now, Health.DISTRUST_SPAN);
-        return rules.mayForward(inf, ex, expected(c.model), now) && ex.inFlight < health.limit(ex, now)
+        return rules.mayForward(inf, ex, expected(c.model), now)
+                && expected(c.model) * health.stretch(ex, now) < inf.leavesAt - now && ex.inFlight < health.limit(ex, now)
                 && (distrust < 0.02 || chance.nextDouble() >= distrust);
     }
 
@@ -484,11 +490,6 @@
     /** A few network trips; one that stalls is not waited for. */
     private static final double ASK_PATIENCE = 15;
 
-    /** Rates are seen over the idle time of a copy: what comes more rarely does not keep one warm. */
-    private double rateSpan() {
-        return Math.max(1000, loading.keepsIdleFor());
-    }
-
     /** Every executor's copies of a model, in its rendezvous order. */
     private List<Copies> nearest(Model mdl) {
         if (mdl.copies.size() < executors.size()) {
@@ -519,7 +520,7 @@
 
     private double use(Executor ex) {
         Report r = now - ex.reportAt < 4 * PROBE_EVERY ? ex.report : null;
-        double use = r == null ? Double.NaN : !Double.isNaN(r.inFlight()) ? r.inFlight()
+        double use = r == null ? ex.inFlight : !Double.isNaN(r.inFlight()) ? r.inFlight()
                 : !Double.isNaN(r.busy()) ? r.busy() : r.queued();
         return (Double.isNaN(use) ? ex.inFlight : use) / ex.size / rules.capacityShare(ex, now);
     }
@@ -547,21 +548,20 @@
         return loading.keepsIdleFor() / 10;
     }
 
-    /** Near the end of its idle time an instance is renewed if it was used, else it lapses. */
+    /** Near its idle time's end an instance is renewed if it was used, and not for a model that came once only. */
     private void reviewCopies(Copies c) {
         c.reviewSet = false;
-        if (c.warm == 0) {
-            return;
-        }
         if (now >= c.standsUntil && c.inFlight == 0) {
             c.warm = 0;
+        }
+        if (c.warm == 0) {
             return;
         } else if (now >= c.standsUntil - renewLead() - 1) {
             c.warm = Math.min(c.warm, Math.max(1, (int) Math.ceil(c.peak / c.model.lanes)));
             c.peak = c.inFlight;
             if (c.inFlight > 0) {
                 c.standsUntil = now + loading.keepsIdleFor();
-            } else if (c.usedAt > c.renewedAt && c.model.taken.value(now, rateSpan()) > RENEW_ABOVE) {
+            } else if (c.usedAt > c.renewedAt && c.model.count > 1) {
                 c.renewedAt = now;
                 want(c, c.warm);
             } else {
@@ -573,9 +573,6 @@
         review(c);
     }
 
-    /** One inference an idle time ago has faded to 0.37: what came once only is not renewed. */
-    private static final double RENEW_ABOVE = 0.5;
-
     private void reviewInference(Inference inf) {
         if (inf.done || inf.verdict != null) {
             return;
@@ -791,7 +788,8 @@
 
         /** Turned away: a good part less than what it held. */
         void full(Executor ex) {
-            ex.limit = Math.max(1, 0.7 * ex.inFlight);
+            double limit = Double.isNaN(ex.limit) ? FIRST_LIMIT : ex.limit;
+            ex.limit = Math.max(1, Math.min(limit, 0.7 * ex.inFlight));
         }
 
         /** Present over expected answer time, counting what is still out as if it ended now. */
--- a/src/main/java/gradereach/state/Model.java
+++ b/src/main/java/gradereach/state/Model.java
@@ -20,8 +20,8 @@
     public final TreeSet<Inference> held = new TreeSet<>(Inference.QUEUE);
     /** In the order in which they were first heard of. */
     public final List<Copies> copies = new ArrayList<>();
-    /** Inferences taken, over a long and a short span. */
-    public final Fading taken = new Fading();
+    /** Inferences taken: in all, and lately. */
+    public long count;
     public final Fading lately = new Fading();
     public int holdsOut;
     public int asksOut;
