--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -782,7 +782,7 @@
             ex.answers.add(1, now, TALLY_SPAN);
             double limit = Double.isNaN(ex.limit) ? FIRST_LIMIT : ex.limit;
             double ratio = Math.max(0.5, Math.min(1, FULL_STRETCH / stretch(ex, now)));
-            double grow = ex.inFlight + 1 >= limit / 2 ? 1 : 0;
+            double grow = ex.inFlight + 1 >= limit / 2 ? 0.4 : 0;
             ex.limit = Math.max(1, Math.min(64, limit + 0.2 * (limit * (ratio - 1) + grow)));
         }
 
