--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -32,6 +32,8 @@
     private double wakeAt = Double.POSITIVE_INFINITY;
     private int holdsOut;
     private boolean following;
+    private double pressed;
+    private double pressedAt = Double.NEGATIVE_INFINITY;
     private double now;
 
     private final List<Inference> wantedOut = new ArrayList<>();
@@ -161,8 +163,8 @@
                 health.trusted(ex, now);
                 if (answer.warmth() == Warmth.FOUND_LOADED || answer.warmth() == Warmth.UNTOLD) {
                     health.answered(ex, answer.took() / expected(c.model), now);
-                    paced(c.model.pace, answer.took());
-                    paced(c.model.groupPace, answer.took());
+                    c.model.pace.add(answer.took(), now, PACE_OVER, PACE_FORGET);
+                    c.model.groupPace.add(answer.took(), now, PACE_OVER, PACE_FORGET);
                 }
             }
             case MISS -> {
@@ -192,15 +194,10 @@
         }
     }
 
-    private void paced(Pace pace, double took) {
-        pace.answers++;
-        // The last 100 answers or so: the least of a shorter mean would be the luckiest, not the shortest.
-        pace.mean += (took - pace.mean) / Math.min(pace.answers, 100);
-        // The shortest is forgotten by a hundredth a second, so that work that grew is noticed in the end.
-        double grown = pace.shortest * (1 + 0.00001 * (now - pace.at));
-        pace.shortest = pace.answers < 20 ? pace.mean : Math.min(grown, pace.mean);
-        pace.at = now;
-    }
+    /** The last 100 answers or so: the least of a shorter mean would be the luckiest, not the shortest. */
+    private static final int PACE_OVER = 100;
+    /** The shortest is forgotten by a hundredth a second, so that work that grew is noticed in the end. */
+    private static final double PACE_FORGET = 0.00001;
 
     private void unreachable(Executor ex) {
         ex.forgetCopies(now);
@@ -355,7 +352,13 @@
             }
             if (c != null) {
                 send(inf, c);
-            } else if (!lanes && !room) {
+                continue;
+            }
+            if (early && (now - pressedAt > PRESSED || worth(inf) >= pressed)) {
+                pressed = worth(inf);
+                pressedAt = now;
+            }
+            if (!lanes && !room) {
                 return;
             }
         }
@@ -368,6 +371,9 @@
         wantedOut.add(inf);
     }
 
+    /** For this long after something found no room, what is worth clearly less leaves half of it free. */
+    private static final double PRESSED = 1000;
+
     /** Others' inferences there are forgotten over about the time that a few run. */
     private double load(Copies c) {
         return c.inFlight + c.others.value(now, 500);
@@ -377,8 +383,10 @@
         Executor ex = c.executor;
         // Traffic follows distrust: passed over as often as it is distrusted.
         double distrust = ex.distrust.value(now, Health.DISTRUST_SPAN);
+        boolean yields = now - pressedAt < PRESSED && worth(inf) < 0.7 * pressed;
         return rules.mayForward(inf, ex, expected(c.model), now)
-                && expected(c.model) * health.stretch(ex, now) < inf.leavesAt - now && ex.inFlight < health.limit(ex, now)
+                && expected(c.model) * health.stretch(ex, now) < inf.leavesAt - now
+                && ex.inFlight < health.limit(ex, now) * (yields ? 0.5 : 1)
                 && (distrust < 0.02 || chance.nextDouble() >= distrust);
     }
 
--- a/src/main/java/gradereach/state/Pace.java
+++ b/src/main/java/gradereach/state/Pace.java
@@ -6,5 +6,13 @@
     public double answers;
     /** The shortest that the mean has been, forgotten slowly. */
     public double shortest;
-    public double at;
+    private double at;
+
+    /** A mean over the last {@code over} answers; the shortest grows by {@code forget} of itself a millisecond. */
+    public void add(double took, double now, int over, double forget) {
+        answers++;
+        mean += (took - mean) / Math.min(answers, over);
+        shortest = answers * 5 < over ? mean : Math.min(shortest * (1 + forget * (now - at)), mean);
+        at = now;
+    }
 }
