--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -42,8 +42,6 @@
     private final Set<Copies> wantedStanding = new LinkedHashSet<>();
     private final List<Executor> wantedProbed = new ArrayList<>();
 
-    private record Alarm(long turn, Object whom) { }
-
     public Policy(Outlet out, Random chance, Tier tier, List<ModelGroup> groups, List<Customer> customers,
             double surplusValue, ColdStartRule coldStarts, LoadRation ration, Loading loading,
             ForwardRules forwarding) {
@@ -122,11 +120,6 @@
         alarms.set(lastMoment(inf), inf);
     }
 
-    @Override
-    public void left(Inference inf) {
-        finish(inf);
-    }
-
     @Override
     public void ended(Forward fwd, Answer answer) {
         Inference inf = fwd.inference;
@@ -136,7 +129,7 @@
         fwd.executor.reported(answer.report(), now);
         learn(fwd, answer);
         if (answer.inferenceDone() || inf.done) {
-            finish(inf);
+            left(inf);
         } else if (!inf.anyOut() && !inf.held && inf.next == null) {
             if (now < lastMoment(inf) && inf.forwards.size() < forwarding.mostForwards()
                     && (!inf.mayHaveRun() || inf.group.repeat() != Repeat.NON_RETRIABLE)) {
@@ -310,7 +303,8 @@
     }
 
     /**
-     * Queues keep the order of coming, those late or beyond their customer's share behind the others. Guards against a backlog in which everything is served just too late; harms the late ones only.
+     * Queues keep the order of coming, those late or beyond their customer's share behind the others. Guards
+     * against a backlog in which everything is served just too late; harms the late ones only.
      */
     private void hold(Inference inf) {
         unhold(inf);
@@ -422,14 +416,11 @@
         Copies best = null;
         double least = Double.POSITIVE_INFINITY;
         for (Copies c : mdl.copies) {
-            boolean comes = c.ordered > 0 && now - c.orderedAt > ORDER_ARRIVES;
-            if (c.warm > 0 || comes) {
-                double busy = (load(c) + 1) / (Math.max(c.warm, c.ordered) * mdl.lanes)
-                        * health.stretch(c.executor, now);
-                if (busy < least && takes(c, inf)) {
-                    least = busy;
-                    best = c;
-                }
+            int copies = Math.max(c.warm, now - c.orderedAt > ORDER_ARRIVES ? c.ordered : 0);
+            double busy = (load(c) + 1) / (copies * mdl.lanes) * health.stretch(c.executor, now);
+            if (busy < least && takes(c, inf)) {
+                least = busy;
+                best = c;
             }
         }
         return best;
@@ -556,7 +547,7 @@
         return loading.keepsIdleFor() / 10;
     }
 
-    /** Near its idle time's end an instance is renewed if it was used, and not for a model that came once only. */
+    /** Near its idle time's end an instance is renewed if it was used, for a model that came more than once. */
     private void reviewCopies(Copies c) {
         c.reviewSet = false;
         if (now >= c.standsUntil && c.inFlight == 0) {
@@ -616,11 +607,13 @@
         wantedAnswered.add(inf);
     }
 
-    private void finish(Inference inf) {
+    @Override
+    public void left(Inference inf) {
         inf.done = true;
         unhold(inf);
         for (Forward fwd : inf.forwards) {
-            if (fwd.outcome == null && forwarding.cancels() && !inf.streaming) {
+            if (fwd.outcome == null && !fwd.cancelled && forwarding.cancels() && !inf.streaming) {
+                fwd.cancelled = true;
                 wantedCancelled.add(fwd);
             }
         }
@@ -630,12 +623,7 @@
 
     /** Sends what is wanted and not yet so. Every rule is asked once more at this door. */
     private void emit() {
-        for (Forward fwd : wantedCancelled) {
-            if (fwd.outcome == null && !fwd.cancelled) {
-                fwd.cancelled = true;
-                out.cancel(fwd);
-            }
-        }
+        wantedCancelled.forEach(out::cancel);
         wantedCancelled.clear();
         for (Inference inf : wantedAnswered) {
             if (!inf.done && inf.verdict == Verdict.SHED) {
@@ -649,16 +637,13 @@
         wantedAnswered.clear();
         for (Copies c : wantedStanding) {
             boolean asks = c.wanted == 0;
-            if (!loading.ordersAllowed() || c.pending || c.executor.standing != Standing.READY
-                    || !asks && !(rules.mayOrderOn(c.executor) && rules.mayOrder(now))) {
-                continue;
-            }
-            c.orderSent(now);
-            if (!asks) {
-                rules.orders().add(1, now);
-                holdsOut++;
+            if (loading.ordersAllowed() && !c.pending && rules.mayOrderOn(c.executor)
+                    && (asks || rules.mayOrder(now))) {
+                c.orderSent(now);
+                rules.orders().add(asks ? 0 : 1, now);
+                holdsOut += asks ? 0 : 1;
+                out.order(c.executor, c.model, c.wanted);
             }
-            out.order(c.executor, c.model, c.wanted);
         }
         wantedStanding.clear();
         for (Inference inf : wantedOut) {
@@ -702,8 +687,9 @@
             Recent orders, Recent taken) {
         /** Rule 5. Orders leave the count a little late, inferences a little early: clocks round. */
         boolean mayOrder(double now) {
-            return ration.span() <= 0 || orders.since(now - ration.span() - 1) + 1
-                    <= ration.free() + ration.share() * taken.since(now - ration.span() + 1);
+            double ordered = orders.since(now - ration.span() - 1);
+            return ordered + 1 <= ration.free() + ration.share() * taken.since(now - ration.span() + 1)
+                    || ration.span() <= 0;
         }
 
         /** Rule 3, kept without using the grace. */
