--- a/src/test/java/gradereach/FrontEnd.java
+++ b/src/test/java/gradereach/FrontEnd.java
@@ -10,6 +10,8 @@
     static final ModelGroup NON_RETRIABLE = group("booking", Repeat.NON_RETRIABLE, DedupScope.ALL);
     static final ModelGroup DEDUPED = group("marked", Repeat.DEDUPED, DedupScope.LOCATION);
     static final ModelGroup DEDUPED_ANYWHERE = group("marked-anywhere", Repeat.DEDUPED, DedupScope.ALL);
+    static final ModelGroup DEAR = new ModelGroup("dear", Repeat.RETRIABLE, DedupScope.ALL, 0, 400, 0, 2000, 9, 0.2,
+            false);
 
     final List<String> done = new ArrayList<>();
     final List<Forward> forwards = new ArrayList<>();
@@ -26,7 +28,7 @@
 
     FrontEnd start(long seed, int count, double startedAt) {
         policy = new Policy(this, new Random(seed), new Tier(0, 1, 0, false, true, false, 0, 0, 1),
-                List.of(RETRIABLE, NON_RETRIABLE, DEDUPED, DEDUPED_ANYWHERE), List.of(), 1,
+                List.of(RETRIABLE, NON_RETRIABLE, DEDUPED, DEDUPED_ANYWHERE, DEAR), List.of(), 1,
                 new ColdStartRule(0.2, 10_000, 3, 3000), ration,
                 new Loading(true, true, keepsIdleFor, 10_000, 0.1, List.of(1000.0)),
                 new ForwardRules(4, true, true, 250, 8, 1000, true));
--- a/src/test/java/gradereach/PolicyTest.java
+++ b/src/test/java/gradereach/PolicyTest.java
@@ -197,4 +197,91 @@
         fe.end(2104, inf.forwards.get(1), Outcome.MISS);
         assertEquals(1, fe.since(mark).stream().filter(line -> line.startsWith("hold")).count());
     }
+
+    @Test
+    void whatIsReleasedInOneMomentCountsAgainstTheLimit() {
+        FrontEnd fe = new FrontEnd().start(1, 1, 0);
+        mdl.lanes = 100;
+        for (int i = 0; i < 60; i++) {
+            fe.take(2000, FrontEnd.RETRIABLE, mdl);
+        }
+        fe.standing(2001, mdl, 16);
+        assertEquals(8, fe.forwards.size());
+    }
+
+    @Test
+    void inABacklogWhatIsInTimeGoesBeforeWhatIsLate() {
+        FrontEnd fe = new FrontEnd().start(1, 1, 0);
+        Inference late = fe.take(2000, FrontEnd.RETRIABLE, mdl);
+        fe.pass(2390);
+        Inference inTime = fe.take(2391, FrontEnd.RETRIABLE, mdl);
+        fe.standing(2392, mdl, 1);
+        assertEquals(List.of(inTime), fe.forwards.subList(0, 1).stream().map(f -> f.inference).toList());
+        assertFalse(late.done);
+    }
+
+    @Test
+    void anExecutorThatNeverAnswersLosesItsShare() {
+        mdl.lanes = 4;
+        FrontEnd fe = warm(1, 1);
+        Executor silent = fe.forwards.get(0).executor;
+        int toSilent = 0;
+        for (int i = 0; i < 200; i++) {
+            int mark = fe.forwards.size();
+            fe.take(2100 + 20 * i, FrontEnd.NON_RETRIABLE, mdl);
+            for (Forward fwd : List.copyOf(fe.forwards.subList(mark, fe.forwards.size()))) {
+                if (fwd.executor == silent) {
+                    toSilent++;
+                } else {
+                    fe.end(2115 + 20 * i, fwd, Outcome.RETURNED);
+                }
+            }
+            for (Forward fwd : List.copyOf(fe.forwards)) {
+                if (fwd.outcome == null && 2115 + 20 * i - fwd.sentAt > 500) {
+                    fe.end(2115 + 20 * i, fwd, Outcome.TIMED_OUT);
+                }
+            }
+        }
+        int sent = toSilent;
+        assertTrue(sent > 0 && sent < 40, () -> "" + sent);
+    }
+
+    @Test
+    void aFullExecutorIsNotTriedAgainAtOnce() {
+        FrontEnd fe = warm(16);
+        int mark = fe.forwards.size();
+        for (int i = 0; i < 50; i++) {
+            fe.take(2100 + i, FrontEnd.RETRIABLE, mdl);
+            for (Forward fwd : List.copyOf(fe.forwards)) {
+                if (fwd.outcome == null) {
+                    fe.end(2100 + i, fwd, Outcome.FULL);
+                }
+            }
+        }
+        int tries = fe.forwards.size() - mark;
+        assertTrue(tries < 30, () -> "" + tries);
+    }
+
+    @Test
+    void underPressureTheDearFindsRoomThatTheCheapLeft() {
+        mdl.lanes = 100;
+        Model dear = new Model(8);
+        dear.lanes = 100;
+        FrontEnd fe = new FrontEnd().start(1, 1, 0);
+        fe.take(2000, FrontEnd.RETRIABLE, mdl);
+        fe.standing(2001, mdl, 16);
+        for (int i = 0; i < 20; i++) {
+            fe.take(2002, FrontEnd.DEAR, dear);
+        }
+        fe.standing(2003, dear, 16);
+        for (int i = 0; i < 8; i++) {
+            fe.take(2004, FrontEnd.RETRIABLE, mdl);
+        }
+        // The dear that found no room presses from half its SLO time on.
+        fe.pass(2300);
+        List.copyOf(fe.forwards).stream().filter(f -> f.outcome == null).limit(6)
+                .forEach(f -> fe.end(2301, f, Outcome.RETURNED));
+        long cheap = fe.forwards.stream().filter(f -> f.inference.group == FrontEnd.RETRIABLE).count();
+        assertEquals(1, cheap);
+    }
 }
