--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -173,7 +173,8 @@
                 health.full(ex);
                 health.distrusted(ex, 0.3, now);
             }
-            case CONNECT_FAILED, RESET -> unreachable(ex);
+            // What stands there is not forgotten: a broken link is no dead executor, and a dead one is distrusted.
+            case CONNECT_FAILED, RESET -> health.distrusted(ex, 0.9, now);
             case ERROR -> health.distrusted(ex, 0.3, now);
             case TIMED_OUT, CANCELLED -> {
                 // Guards against an executor that never answers: what ended without one still counts as time.
@@ -192,11 +193,6 @@
     /** The shortest is forgotten by a hundredth a second, so that work that grew is noticed in the end. */
     private static final double PACE_FORGET = 0.00001;
 
-    private void unreachable(Executor ex) {
-        ex.forgetCopies(now);
-        health.distrusted(ex, 0.9, now);
-    }
-
     @Override
     public void woken(long tag) {
         wakeAt = Double.POSITIVE_INFINITY;
@@ -207,7 +203,7 @@
         ex.probing = false;
         ex.reported(report, now);
         if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
-            unreachable(ex);
+            health.distrusted(ex, 0.9, now);
         }
     }
 
@@ -229,7 +225,6 @@
                 }
                 review(c);
             }
-            case CONNECT_FAILED, RESET -> unreachable(ex);
             default -> {
                 c.shunnedUntil = now + SHUN;
                 health.distrusted(ex, 0.5, now);
@@ -378,7 +373,7 @@
         // Traffic follows distrust: passed over as often as it is distrusted.
         double distrust = ex.distrust.value(now, Health.DISTRUST_SPAN);
         boolean yields = now - pressedAt < PRESSED && worth(inf) < 0.7 * pressed;
-        return rules.mayForward(inf, ex, expected(c.model), now)
+        return now >= c.shunnedUntil && rules.mayForward(inf, ex, expected(c.model), now)
                 && expected(c.model) * health.stretch(ex, now) < inf.leavesAt - now
                 && ex.inFlight < health.limit(ex, now) * (yields ? 0.5 : 1)
                 && (distrust < 0.02 || chance.nextDouble() >= distrust);
@@ -447,7 +442,7 @@
         int coming = 0;
         double load = 0;
         for (Copies c : mdl.copies) {
-            if (c.warm + c.ordered + c.inFlight > 0 && c.executor.standing == Standing.READY) {
+            if (c.warm + c.ordered + c.inFlight > 0 && usable(c.executor)) {
                 double here = load(c);
                 lanes += c.warm * mdl.lanes;
                 free += Math.max(0, (int) (c.warm * mdl.lanes - here + 0.5));
@@ -472,7 +467,7 @@
         } else if (mdl.asksOut == 0 || now - mdl.askedAt > ASK_PATIENCE) {
             Copies c = place(mdl);
             if (c != null) {
-                want(c, Math.min(16, c.warm + 1));
+                want(c, c.warm + 1);
             }
         }
     }
@@ -504,8 +499,7 @@
         Copies least = null;
         for (Copies c : nearest(mdl)) {
             Executor ex = c.executor;
-            if (!rules.mayOrderOn(ex) || c.pending || now < c.shunnedUntil
-                    || ex.distrust.value(now, Health.DISTRUST_SPAN) > 0.5) {
+            if (!usable(ex) || c.pending || now < c.shunnedUntil) {
                 continue;
             }
             // Half above the mean is within the reports' noise.
@@ -517,6 +511,10 @@
         return least;
     }
 
+    private boolean usable(Executor ex) {
+        return rules.mayOrderOn(ex) && ex.distrust.value(now, Health.DISTRUST_SPAN) <= 0.5;
+    }
+
     private double use(Executor ex) {
         Report r = now - ex.reportAt < 4 * PROBE_EVERY ? ex.report : null;
         double use = r == null ? ex.inFlight : !Double.isNaN(r.inFlight()) ? r.inFlight()
@@ -530,8 +528,9 @@
         return h ^ h >>> 29;
     }
 
+    /** No order may ask for more than 16, though executors may hold more of their own accord. */
     private void want(Copies c, int count) {
-        c.wanted = count;
+        c.wanted = Math.min(16, count);
         wantedStanding.add(c);
     }
 
