--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -174,7 +174,7 @@
                 health.distrusted(ex, 0.3, now);
             }
             // What stands there is not forgotten: a broken link is no dead executor, and a dead one is distrusted.
-            case CONNECT_FAILED, RESET -> health.distrusted(ex, 0.9, now);
+            case CONNECT_FAILED, RESET -> health.distrusted(ex, 2, now);
             case ERROR -> health.distrusted(ex, 0.3, now);
             case TIMED_OUT, CANCELLED -> {
                 // Guards against an executor that never answers: what ended without one still counts as time.
@@ -203,7 +203,7 @@
         ex.probing = false;
         ex.reported(report, now);
         if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
-            health.distrusted(ex, 0.9, now);
+            health.distrusted(ex, 2, now);
         }
     }
 
@@ -227,7 +227,7 @@
             }
             default -> {
                 c.shunnedUntil = now + SHUN;
-                health.distrusted(ex, 0.5, now);
+                health.distrusted(ex, 0.7, now);
             }
         }
     }
@@ -343,7 +343,7 @@
                 send(inf, c);
                 continue;
             }
-            if (early && (now - pressedAt > PRESSED || worth(inf) >= pressed)) {
+            if (early && mdl.anyWarm() && (now - pressedAt > PRESSED || worth(inf) >= pressed)) {
                 pressed = worth(inf);
                 pressedAt = now;
             }
@@ -370,13 +370,13 @@
 
     private boolean takes(Copies c, Inference inf) {
         Executor ex = c.executor;
-        // Traffic follows distrust: passed over as often as it is distrusted.
+        // Traffic follows distrust: every point leaves about a third of it.
         double distrust = ex.distrust.value(now, Health.DISTRUST_SPAN);
         boolean yields = now - pressedAt < PRESSED && worth(inf) < 0.7 * pressed;
         return now >= c.shunnedUntil && rules.mayForward(inf, ex, expected(c.model), now)
                 && expected(c.model) * health.stretch(ex, now) < inf.leavesAt - now
                 && ex.inFlight < health.limit(ex, now) * (yields ? 0.5 : 1)
-                && (distrust < 0.02 || chance.nextDouble() >= distrust);
+                && (distrust < 0.02 || chance.nextDouble() < Math.exp(-distrust));
     }
 
     /**
@@ -512,7 +512,7 @@
     }
 
     private boolean usable(Executor ex) {
-        return rules.mayOrderOn(ex) && ex.distrust.value(now, Health.DISTRUST_SPAN) <= 0.5;
+        return rules.mayOrderOn(ex) && ex.distrust.value(now, Health.DISTRUST_SPAN) <= 0.7;
     }
 
     private double use(Executor ex) {
@@ -762,8 +762,8 @@
         private static final double TALLY_SPAN = 3000;
         /** Answers that every executor is credited with. */
         private static final double CREDIT = 3;
-        /** A distrusted executor gets half its traffic back after a second. */
-        private static final double DISTRUST_SPAN = 1500;
+        /** Distrust fades to a third in this time: as long as a short outage. */
+        private static final double DISTRUST_SPAN = 2000;
         /** Before answers tell; a few cores' worth. */
         private static final double FIRST_LIMIT = 8;
         /** Twice the shortest answer time is taken for a full but healthy executor. */
@@ -806,8 +806,8 @@
         }
 
         void distrusted(Executor ex, double more, double now) {
-            double d = ex.distrust.value(now, DISTRUST_SPAN);
-            ex.distrust.set(d + (1 - d) * more, now);
+            // Six points leave a trickle of one in 400, enough to notice a recovery some seconds on.
+            ex.distrust.set(Math.min(6, ex.distrust.value(now, DISTRUST_SPAN) + more), now);
         }
 
         void trusted(Executor ex, double now) {
