Models that lose their last instance with a leaving executor are ordered before they are asked for

Also guards against a restart seen on the roster; could load needlessly where a model's use ends just then.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -82,14 +82,14 @@
             listings.forEach(line -> missing.remove(line.executor()));
             for (Executor ex : missing) {
                 ex.standing = Standing.GONE;
-                ex.forgetCopies(now);
+                ex.forgetCopies(now, touched);
             }
         }
         for (Listing line : listings) {
             Executor ex = line.executor();
             executors.add(ex);
             if (line.standing() != Standing.READY || line.startedAt() != ex.startedAt) {
-                ex.forgetCopies(now);
+                ex.forgetCopies(now, touched);
             }
             ex.standing = line.standing();
             ex.startedAt = line.startedAt();
@@ -452,7 +452,9 @@
         }
         int held = mdl.held.size();
         double busy = mdl.lately.value(now, LATELY) / LATELY * tier.frontEnds() * expected(mdl);
-        boolean out = free <= 0 && load + held > 0 && (lanes == 0 || busy > LANES_BUSY * lanes
+        // Also where the last instance has just left with its executor: the next inference would wait for a load.
+        boolean wished = load + held > 0 || mdl.lately.value(now, LATELY) > 0.5;
+        boolean out = free <= 0 && wished && (lanes == 0 || busy > LANES_BUSY * lanes
                 || held * expected(mdl) / lanes > mdl.group.sloTime() / 2);
         if (!out || coming > 0 && coming >= held) {
             return;
--- a/src/main/java/gradereach/state/Executor.java
+++ b/src/main/java/gradereach/state/Executor.java
@@ -4,6 +4,7 @@
 import gradereach.api.Standing;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /** An executor that the roster has named: kept for the life of the instance. */
 public final class Executor {
@@ -51,9 +52,10 @@
         }
     }
 
-    /** It went away or started anew: nothing stands there. */
-    public void forgetCopies(double now) {
+    /** It went away or started anew: nothing stands there. Adds the models concerned to {@code concerned}. */
+    public void forgetCopies(double now, Set<Model> concerned) {
         for (Copies c : copies) {
+            concerned.add(c.model);
             c.warm = 0;
             c.others.set(0, now);
         }
