--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -52,7 +52,8 @@
         this.loading = loading;
         this.forwarding = forwarding;
         int frontEnds = Math.max(1, tier.frontEnds());
-        rules = new Rules(coldStarts, ration, frontEnds, forwarding, new Recent(), new Recent());
+        rules = new Rules(coldStarts, ration, frontEnds, forwarding, new Recent(), new Recent(), new Fading(),
+                executors);
         shares = new Shares(surplusValue, customers.stream().mapToDouble(c -> c.quotaPerSecond() / frontEnds)
                 .toArray(), customers.stream().map(c -> new Fading()).toList());
         for (ModelGroup group : groups) {
@@ -66,15 +67,14 @@
     // ---- events change beliefs -------------------------------------------------------------------------
 
     @Override
-    public void moment(double at) {
-        now = at;
-    }
+    public void moment(double at) { now = at; }
 
     @Override
     public void roster(RosterForm form, List<Listing> listings) {
         if (form == RosterForm.FAILED) {
             following = false;
-            alarms.set(now + ROSTER_AGAIN, this);
+            // Asked for again a second later: the service is short of capacity.
+            alarms.set(now + 1000, this);
             return;
         }
         if (form != RosterForm.CHANGES) {
@@ -100,9 +100,6 @@
         alarms.set(now, this);
     }
 
-    /** A roster call that failed is made again after this: the service is short of capacity. */
-    private static final double ROSTER_AGAIN = 1000;
-
     @Override
     public void taken(Inference inf) {
         Model mdl = inf.model;
@@ -173,7 +170,7 @@
                 health.full(ex);
                 health.distrusted(ex, 0.3, now);
             }
-            // What stands there is not forgotten: a broken link is no dead executor, and a dead one is distrusted.
+            // What stands there is not forgotten: a broken link is no dead executor.
             case CONNECT_FAILED, RESET -> health.distrusted(ex, 2, now);
             case ERROR -> health.distrusted(ex, 0.3, now);
             case TIMED_OUT, CANCELLED -> {
@@ -388,7 +385,7 @@
     /** The busiest instance with a free lane, ties random; one too slow for the SLO time comes last. */
     private Copies busiest(Model mdl, Inference inf, Executor not) {
         Copies best = null;
-        double bestRank = 0;
+        double bestRank = Double.NEGATIVE_INFINITY;
         int ties = 0;
         for (Copies c : mdl.copies) {
             if (c.warm == 0 || c.executor == not || load(c) > c.warm * mdl.lanes - 0.5 || !takes(c, inf)) {
@@ -396,7 +393,7 @@
             }
             double answers = expected(mdl) * health.stretch(c.executor, now);
             double rank = answers > earlyPoint(inf) ? -answers : c.inFlight + c.uses.value(now, LATELY);
-            if (best == null || rank > bestRank) {
+            if (rank > bestRank) {
                 best = c;
                 bestRank = rank;
                 ties = 1;
@@ -428,7 +425,7 @@
     private static double expected(Model mdl) {
         double own = mdl.pace.answers;
         // Eight answers of its own weigh as much as the group's.
-        double shape = own == 0 ? 1 : (8 + own * mdl.pace.mean / mdl.groupPace.mean) / (8 + own);
+        double shape = (8 + own * mdl.pace.mean / mdl.groupPace.mean) / (8 + own);
         return Math.max(1, mdl.groupPace.shortest * shape);
     }
 
@@ -452,7 +449,7 @@
         }
         int held = mdl.held.size();
         double busy = mdl.lately.value(now, LATELY) / LATELY * tier.frontEnds() * expected(mdl);
-        // Also where the last instance has just left with its executor: the next inference would wait for a load.
+        // Also where the last instance has just left with its executor: the next would wait for a load.
         boolean wished = load + held > 0 || mdl.lately.value(now, LATELY) > 0.5;
         boolean out = free <= 0 && wished && (lanes == 0 || busy > LANES_BUSY * lanes
                 || held * expected(mdl) / lanes > mdl.group.sloTime() / 2);
@@ -548,12 +545,10 @@
         return loading.keepsIdleFor() / 10;
     }
 
-    /** Near its idle time's end an instance is renewed if it was used, for a model that came more than once. */
+    /** Near its idle time's end an instance is renewed if it was used and its model came more than once. */
     private void reviewCopies(Copies c) {
         c.reviewSet = false;
-        if (now >= c.standsUntil && c.inFlight == 0) {
-            c.warm = 0;
-        }
+        c.warm = now >= c.standsUntil && c.inFlight == 0 ? 0 : c.warm;
         if (c.warm == 0) {
             return;
         } else if (now >= c.standsUntil - renewLead() - 1) {
@@ -585,8 +580,7 @@
             }
             return;
         }
-        if (inf.forwards.size() != 1 || inf.group.repeat() == Repeat.NON_RETRIABLE
-                || !forwarding.secondCopies()) {
+        if (inf.forwards.size() != 1 || !forwarding.secondCopies()) {
             return;
         }
         Forward first = inf.forwards.get(0);
@@ -685,7 +679,7 @@
 
     /** What is allowed; holds whatever the rest decides. */
     private record Rules(ColdStartRule cold, LoadRation ration, int frontEnds, ForwardRules forwarding,
-            Recent orders, Recent taken) {
+            Recent orders, Recent taken, Fading sent, Set<Executor> executors) {
         /** Rule 5. Orders leave the count a little late, inferences a little early: clocks round. */
         boolean mayOrder(double now) {
             double ordered = orders.since(now - ration.span() - 1);
@@ -742,15 +736,18 @@
             return Math.min(1, cold.startShare() + (1 - cold.startShare()) * age);
         }
 
-        /** Rule 4: our part of what a cold executor bears in any window, one core taken for granted. */
+        /** Rule 4: our part of one core, or else what an executor usually takes of ours. */
         private boolean coldRoom(Executor ex, double work, double now) {
             double share = capacityShare(ex, now - cold.fallTime());
+            // Over a time longer than a burst, which must not pass for what executors can take.
+            double usual = sent.value(now, cold.warmWithin()) / cold.warmWithin() / executors.size();
             // Three quarters of the bearable: the rest is for inferences that turn out longer than the mean.
             return share >= 1 || cold.fallMultiple() <= 0 || ex.coldWork.since(now - cold.fallTime()) + work
-                    <= 0.75 * cold.fallMultiple() * share * cold.fallTime() / frontEnds;
+                    <= 0.75 * cold.fallMultiple() * cold.fallTime() * share * Math.max(1d / frontEnds, usual);
         }
 
         void forwarded(Executor ex, double work, double now) {
+            sent.add(work, now, cold.warmWithin());
             ex.coldWork.add(work, now);
             ex.coldWork.since(now - cold.fallTime());
         }
