--- a/src/test/java/gradereach/PolicyTest.java
+++ b/src/test/java/gradereach/PolicyTest.java
@@ -282,4 +282,16 @@
         assertEquals(1, mdl.on(broken).warm);
         assertFalse(inf.forwards.get(1).executor == broken);
     }
+
+    @Test
+    void aModelThatLosesItsLastInstanceIsOrderedBeforeItIsAskedFor() {
+        FrontEnd fe = warm(1, 0, 0);
+        fe.take(2100, FrontEnd.RETRIABLE, mdl);
+        fe.end(2150, fe.forwards.get(1), Outcome.RETURNED);
+        fe.pass(2200);
+        long before = fe.count("hold");
+        fe.roster(2201, fe.executors.get(0), Standing.DRAINING);
+        fe.pass(2300);
+        assertEquals(before + 1, fe.count("hold"));
+    }
 }
