Executors are no longer probed all the time by every front end

Cause: at full size each front end probed each executor twice a second, 15 to 60 probes an inference.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -265,15 +265,6 @@
             following = true;
             out.followRoster(true);
         }
-        if (tier.probes()) {
-            for (Executor ex : executors) {
-                if (ex.standing == Standing.READY && !ex.probing
-                        && now - Math.max(ex.reportAt, ex.probedAt) > PROBE_EVERY) {
-                    wantedProbed.add(ex);
-                }
-            }
-            alarms.set(now + PROBE_EVERY / 4, this);
-        }
     }
 
     /** Two looks a second: reports are refreshed about as often, and a probe costs little. */
