Rendezvous order kept per model, mean use once a moment, questions three at a time

Cause: each model's list held every executor and each look walked it; eight questions for each unknown model.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -34,6 +34,8 @@
     private boolean following;
     private double pressed;
     private double pressedAt = Double.NEGATIVE_INFINITY;
+    private double meanUse;
+    private double meanUseAt = Double.NaN;
     private double now;
 
     private final List<Inference> wantedOut = new ArrayList<>();
@@ -317,7 +319,7 @@
     private void releaseHeld(Model mdl) {
         boolean lanes = true;
         boolean room = true;
-        for (Inference inf : List.copyOf(mdl.held)) {
+        for (Inference inf : mdl.held.toArray(new Inference[0])) {
             // In a long queue the first that finds nothing speaks for the rest, but for those with a past.
             boolean fresh = inf.forwards.isEmpty();
             boolean early = now - inf.takenAt >= earlyPoint(inf);
@@ -447,18 +449,31 @@
         if (!out || coming > 0 && coming >= held) {
             return;
         }
-        if (now - mdl.askedAt > ASK_EVERY) {
-            mdl.askedAt = now;
-            for (Copies c : nearest(mdl).subList(0, Math.min(ASK_WIDTH, executors.size()))) {
-                if (c.executor.standing == Standing.READY && !c.pending && now - c.heardAt > ASK_EVERY / 2) {
+        if (mdl.asksOut > 0 && now - mdl.askedAt <= ASK_PATIENCE) {
+            return;
+        }
+        int asked = 0;
+        int depth = 0;
+        for (Executor ex : nearest(mdl)) {
+            if (asked == ASK_WIDTH || depth == ASK_DEPTH) {
+                break;
+            }
+            Copies c = rules.mayOrderOn(ex) ? mdl.on(ex) : null;
+            if (c != null && c.warm == 0) {
+                depth++;
+                if (!c.pending && now - c.heardAt > ASK_EVERY) {
+                    asked++;
                     want(c, 0);
                 }
             }
-        } else if (mdl.asksOut == 0 || now - mdl.askedAt > ASK_PATIENCE) {
-            Copies c = place(mdl);
-            if (c != null) {
-                want(c, c.warm + 1);
-            }
+        }
+        if (asked > 0) {
+            mdl.askedAt = now;
+            return;
+        }
+        Copies c = place(mdl);
+        if (c != null) {
+            want(c, c.warm + 1);
         }
     }
 
@@ -469,38 +484,51 @@
     private static final double LANES_BUSY = 0.5;
     /** Asking what stands is cheap beside a load, but each one asked answers: not more often than this. */
     private static final double ASK_EVERY = 4000;
-    /** Orders go to the first in rendezvous order, so what stands does so on the first few. */
-    private static final int ASK_WIDTH = 8;
+    /** Orders go to the first in rendezvous order, so what stands does so on the first few, mostly the nearest. */
+    private static final int ASK_DEPTH = 8;
+    private static final int ASK_WIDTH = 3;
     /** A few network trips; one that stalls is not waited for. */
     private static final double ASK_PATIENCE = 15;
 
-    /** Every executor's copies of a model, in its rendezvous order. */
-    private List<Copies> nearest(Model mdl) {
-        if (mdl.copies.size() < executors.size()) {
-            executors.forEach(mdl::on);
-            mdl.copies.sort(Comparator.comparingLong(c -> rendezvous(mdl, c.executor)));
+    /** The executors in a model's rendezvous order; sorted anew only where the roster has new names. */
+    private List<Executor> nearest(Model mdl) {
+        if (mdl.homes.size() < executors.size()) {
+            mdl.homes.clear();
+            mdl.homes.addAll(executors);
+            mdl.homes.sort(Comparator.comparingLong(ex -> rendezvous(mdl, ex)));
         }
-        return mdl.copies;
+        return mdl.homes;
     }
 
     /** First in the model's rendezvous order whose use is not far above the mean. */
     private Copies place(Model mdl) {
-        double mean = executors.stream().filter(rules::mayOrderOn).mapToDouble(this::use).average().orElse(0);
         Copies least = null;
-        for (Copies c : nearest(mdl)) {
-            Executor ex = c.executor;
-            if (!usable(ex) || c.pending || now < c.shunnedUntil) {
+        int seen = 0;
+        for (Executor ex : nearest(mdl)) {
+            if (!usable(ex) || mdl.on(ex).pending || now < mdl.on(ex).shunnedUntil) {
                 continue;
             }
             // Half above the mean is within the reports' noise.
-            if (use(ex) <= 1.5 * mean) {
-                return c;
+            if (use(ex) <= 1.5 * meanUse()) {
+                return mdl.on(ex);
+            }
+            least = least == null || use(ex) < use(least.executor) ? mdl.on(ex) : least;
+            if (++seen == ASK_DEPTH) {
+                break;
             }
-            least = least == null || use(ex) < use(least.executor) ? c : least;
         }
         return least;
     }
 
+    /** Over the executors that may be ordered on; worked out once a moment at most. */
+    private double meanUse() {
+        if (meanUseAt != now) {
+            meanUseAt = now;
+            meanUse = executors.stream().filter(rules::mayOrderOn).mapToDouble(this::use).average().orElse(0);
+        }
+        return meanUse;
+    }
+
     private boolean usable(Executor ex) {
         return rules.mayOrderOn(ex) && ex.distrust.value(now, Health.DISTRUST_SPAN) <= 0.7;
     }
--- a/src/main/java/gradereach/state/Model.java
+++ b/src/main/java/gradereach/state/Model.java
@@ -18,7 +18,9 @@
     public final Pace pace = new Pace();
 
     public final TreeSet<Inference> held = new TreeSet<>(Inference.QUEUE);
-    /** In the order in which they were first heard of. */
+    /** The executors that the roster named, nearest first. */
+    public final List<Executor> homes = new ArrayList<>();
+    /** With the executors dealt with so far, in the order in which that began. */
     public final List<Copies> copies = new ArrayList<>();
     /** Inferences taken: in all, and lately. */
     public long count;
