Crowds met count as a mean over answers; waiting for lanes shrinks with our own part of them

Cause: at full size a front end hears of an instance once in seconds, and what it heard was forgotten in half a second; lanes that others fill come free unseen.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -143,7 +143,10 @@
         Copies c = fwd.copies;
         Executor ex = fwd.executor;
         if (answer.crowd() >= 0) {
-            c.others.set(Math.max(0, answer.crowd() - fwd.company), now);
+            double others = Math.max(0, answer.crowd() - fwd.company);
+            // Counted in answers: one of many front ends hears seldom, and each crowd met is a fair sample.
+            boolean first = c.others.value(now, loading.keepsIdleFor()) < 0.01;
+            c.others.set(first ? others : 0.7 * c.others.value(now, loading.keepsIdleFor()) + 0.3 * others, now);
             c.peak = Math.max(c.peak, answer.crowd() + 1);
         }
         switch (answer.outcome()) {
@@ -319,10 +322,12 @@
     private void releaseHeld(Model mdl) {
         boolean lanes = true;
         boolean room = true;
+        // Lanes that others fill come free unseen: waiting is worth as much as our own part of them.
+        double patience = ownPart(mdl);
         for (Inference inf : mdl.held.toArray(new Inference[0])) {
             // In a long queue the first that finds nothing speaks for the rest, but for those with a past.
             boolean fresh = inf.forwards.isEmpty();
-            boolean early = now - inf.takenAt >= earlyPoint(inf);
+            boolean early = now - inf.takenAt >= earlyPoint(inf) * patience;
             Copies c = lanes || !fresh ? busiest(mdl, inf, null) : null;
             lanes &= c != null || !fresh;
             if (c == null && early && (room || !fresh)) {
@@ -353,9 +358,20 @@
     /** For this long after something found no room, what is worth clearly less leaves half of it free. */
     private static final double PRESSED = 1000;
 
-    /** Others' inferences there are forgotten over about the time that a few run. */
+    /** Others' inferences there are forgotten as what stands there is. */
     private double load(Copies c) {
-        return c.inFlight + c.others.value(now, 500);
+        return c.inFlight + c.others.value(now, loading.keepsIdleFor());
+    }
+
+    /** Our own part of what is at work on a model's instances. */
+    private double ownPart(Model mdl) {
+        double ours = 0;
+        double all = 0;
+        for (Copies c : mdl.copies) {
+            ours += c.warm > 0 ? c.inFlight : 0;
+            all += c.warm > 0 ? load(c) : 0;
+        }
+        return all > 0 ? ours / all : 1;
     }
 
     private boolean takes(Copies c, Inference inf) {
@@ -431,6 +447,7 @@
         int free = 0;
         int coming = 0;
         double load = 0;
+        double others = 0;
         for (Copies c : mdl.copies) {
             if (c.warm + c.ordered + c.inFlight > 0 && usable(c.executor)) {
                 double here = load(c);
@@ -438,10 +455,11 @@
                 free += Math.max(0, (int) (c.warm * mdl.lanes - here + 0.5));
                 coming += Math.max(0, c.ordered - c.warm) * mdl.lanes;
                 load += here;
+                others += here - c.inFlight;
             }
         }
         int held = mdl.held.size();
-        double busy = mdl.lately.value(now, LATELY) / LATELY * tier.frontEnds() * expected(mdl);
+        double busy = mdl.lately.value(now, LATELY) / LATELY * expected(mdl) + others;
         // Also where the last instance has just left with its executor: the next would wait for a load.
         boolean wished = load + held > 0 || mdl.lately.value(now, LATELY) > 0.5;
         boolean out = free <= 0 && wished && (lanes == 0 || busy > LANES_BUSY * lanes
