Two instances are looked at before one is chosen; second forwards wait for four expected answer times

Cause: at full size a front end hears of an executor once in many seconds and loads instances blindly; a second forward after twice the expected time fell on an eighth of all inferences, since an executor is always silent to one of many front ends, and brought a fifth more work.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -272,9 +272,6 @@
         }
     }
 
-    /** Two looks a second: reports are refreshed about as often, and a probe costs little. */
-    private static final double PROBE_EVERY = 500;
-
     /** What an answer still brings for its work. */
     private double worth(Inference inf) {
         double late = late(inf) ? inf.group.lateShare() : 1;
@@ -328,17 +325,17 @@
             // In a long queue the first that finds nothing speaks for the rest, but for those with a past.
             boolean fresh = inf.forwards.isEmpty();
             boolean early = now - inf.takenAt >= earlyPoint(inf) * patience;
-            Copies c = lanes || !fresh ? busiest(mdl, inf, null) : null;
+            Copies c = lanes || !fresh ? pick(mdl, inf, null, true) : null;
             lanes &= c != null || !fresh;
             if (c == null && early && (room || !fresh)) {
-                c = leastBusy(mdl, inf);
+                c = pick(mdl, inf, null, false);
                 room &= c != null || !fresh;
             }
             if (c != null) {
                 send(inf, c);
                 continue;
             }
-            if (early && mdl.anyWarm() && (now - pressedAt > PRESSED || worth(inf) >= pressed)) {
+            if (early && inf.looksAt == null && mdl.anyWarm() && (now - pressedAt > PRESSED || worth(inf) >= pressed)) {
                 pressed = worth(inf);
                 pressedAt = now;
             }
@@ -391,41 +388,68 @@
      */
     private static final double LATELY = 3000;
 
-    /** The busiest instance with a free lane, ties random; one too slow for the SLO time comes last. */
-    private Copies busiest(Model mdl, Inference inf, Executor not) {
+    /**
+     * The busiest instance with a free lane, ties random; one too slow for the SLO time comes last. Where lanes
+     * do not matter, the least busy one. A second, drawn from the others, is looked at beside it.
+     */
+    private Copies pick(Model mdl, Inference inf, Executor not, boolean lanes) {
+        if (inf.looksAt != null && now - inf.lookedAt <= ASK_PATIENCE && (unseen(inf.looksAt, inf)
+                || unseen(inf.looksBeside, inf))) {
+            return null;
+        }
         Copies best = null;
+        Copies other = null;
         double bestRank = Double.NEGATIVE_INFINITY;
-        int ties = 0;
+        int seen = 0;
         for (Copies c : mdl.copies) {
-            if (c.warm == 0 || c.executor == not || load(c) > c.warm * mdl.lanes - 0.5 || !takes(c, inf)) {
+            int copies = lanes || now - c.orderedAt <= ORDER_ARRIVES ? c.warm : Math.max(c.warm, c.ordered);
+            if (copies == 0 || c.executor == not || lanes && load(c) > c.warm * mdl.lanes - 0.5 || !takes(c, inf)) {
                 continue;
             }
             double answers = expected(mdl) * health.stretch(c.executor, now);
-            double rank = answers > earlyPoint(inf) ? -answers : c.inFlight + c.uses.value(now, LATELY);
-            if (rank > bestRank) {
-                best = c;
-                bestRank = rank;
-                ties = 1;
-            } else if (rank == bestRank && chance.nextInt(++ties) == 0) {
-                best = c;
-            }
+            double rank = !lanes ? -(load(c) + 1) / (copies * mdl.lanes) * answers
+                    : answers > earlyPoint(inf) ? -answers : c.inFlight + c.uses.value(now, LATELY);
+            boolean better = rank > bestRank || rank == bestRank && chance.nextInt(2) == 0;
+            Copies left = better ? best : c;
+            other = left != null && chance.nextInt(++seen) == 0 ? left : other;
+            best = better ? c : best;
+            bestRank = better ? rank : bestRank;
+        }
+        if (other == null || !tier.probes()) {
+            return best;
+        }
+        if (inf.looksAt == null) {
+            inf.looksAt = best;
+            inf.looksBeside = other;
+            inf.lookedAt = now;
+            look(best.executor);
+            look(other.executor);
+            if (unseen(best, inf) || unseen(other, inf)) {
+                return null;
+            }
+        }
+        Copies one = inf.looksAt;
+        Copies two = inf.looksBeside;
+        inf.looksAt = null;
+        boolean oneTakes = one.warm + one.ordered > 0 && takes(one, inf);
+        boolean twoTakes = two.warm + two.ordered > 0 && takes(two, inf);
+        return !oneTakes && !twoTakes ? best : !oneTakes || twoTakes
+                && use(one.executor) > 1.2 * use(two.executor) ? two : one;
+    }
+
+    private boolean unseen(Copies c, Inference inf) {
+        return c.executor.probing && c.executor.reportAt < inf.lookedAt;
+    }
+
+    private void look(Executor ex) {
+        if (!ex.probing && now - ex.reportAt > FRESH) {
+            ex.probing = true;
+            wantedProbed.add(ex);
         }
-        return best;
     }
 
-    private Copies leastBusy(Model mdl, Inference inf) {
-        Copies best = null;
-        double least = Double.POSITIVE_INFINITY;
-        for (Copies c : mdl.copies) {
-            int copies = Math.max(c.warm, now - c.orderedAt > ORDER_ARRIVES ? c.ordered : 0);
-            double busy = (load(c) + 1) / (copies * mdl.lanes) * health.stretch(c.executor, now);
-            if (busy < least && takes(c, inf)) {
-                least = busy;
-                best = c;
-            }
-        }
-        return best;
-    }
+    /** Reports are refreshed a few times a second. */
+    private static final double FRESH = 300;
 
     /** A forward may overtake an order sent just before it: a few network trips and a handshake. */
     private static final double ORDER_ARRIVES = 20;
@@ -551,10 +575,14 @@
         return rules.mayOrderOn(ex) && ex.distrust.value(now, Health.DISTRUST_SPAN) <= 0.7;
     }
 
+    /** What it has to do: as reported, or our own part where no report is fresh; an unheard probe counts as full. */
     private double use(Executor ex) {
-        Report r = now - ex.reportAt < 4 * PROBE_EVERY ? ex.report : null;
+        if (ex.probing && now - ex.probedAt > ASK_PATIENCE) {
+            return 100;
+        }
+        Report r = now - ex.reportAt < 4 * FRESH ? ex.report : null;
         double use = r == null ? ex.inFlight : !Double.isNaN(r.inFlight()) ? r.inFlight()
-                : !Double.isNaN(r.busy()) ? r.busy() : r.queued();
+                : (Double.isNaN(r.queued()) ? 0 : r.queued()) + Math.max(0, r.busy()) / (1.1 - Math.min(1, r.busy()));
         return (Double.isNaN(use) ? ex.inFlight : use) / ex.size / rules.capacityShare(ex, now);
     }
 
@@ -623,9 +651,9 @@
         Forward first = inf.forwards.get(0);
         Executor ex = first.executor;
         // Guards against an executor that stalls, crawls or died unseen; does harm where all are slow alike.
-        boolean doubtful = now - first.sentAt > 2 * first.hope
+        boolean doubtful = now - first.sentAt > 4 * first.hope
                 && (ex.answeredAt < first.sentAt || health.stretch(ex, now) > 2);
-        Copies c = doubtful ? busiest(inf.model, inf, ex) : null;
+        Copies c = doubtful ? pick(inf.model, inf, ex, true) : null;
         if (c == null) {
             alarms.set(now + 50, inf);
         } else {
--- a/src/main/java/gradereach/state/Inference.java
+++ b/src/main/java/gradereach/state/Inference.java
@@ -30,6 +30,10 @@
     public int behind;
     /** Beyond its customer's share when it came. */
     public boolean surplus;
+    /** The two instances whose executors are looked at before it goes to one of them. */
+    public Copies looksAt;
+    public Copies looksBeside;
+    public double lookedAt;
     /** Where it should go next, null for nowhere. */
     public Copies next;
     /** Its final answer as decided; null while there is none. */
