--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -525,9 +525,9 @@
     /** Lanes that are out for a moment only are worth a short wait, not a load that outlasts it. */
     private static final double LANES_BUSY = 0.5;
     /** Asking what stands is cheap beside a load, but each one asked answers: not more often than this. */
-    private static final double ASK_EVERY = 4000;
+    private static final double ASK_EVERY = 8000;
     /** Orders go to the first in rendezvous order, so what stands does so on the first few, mostly the nearest. */
-    private static final int ASK_DEPTH = 8;
+    private static final int ASK_DEPTH = 4;
     private static final int ASK_WIDTH = 3;
     /** A few network trips; one that stalls is not waited for. */
     private static final double ASK_PATIENCE = 15;
@@ -651,7 +651,7 @@
         Forward first = inf.forwards.get(0);
         Executor ex = first.executor;
         // Guards against an executor that stalls, crawls or died unseen; does harm where all are slow alike.
-        boolean doubtful = now - first.sentAt > 4 * first.hope
+        boolean doubtful = now - first.sentAt > 8 * first.hope
                 && (ex.answeredAt < first.sentAt || health.stretch(ex, now) > 2);
         Copies c = doubtful ? pick(inf.model, inf, ex, true) : null;
         if (c == null) {
