One limit over all executors, measured by the SLO time; a halt of our own teaches nothing

Cause: with less than one forward an executor their limits bind nothing, so overload and repeats at once fill every queue. Conclusion: kept with a floor of four an executor for all front ends together.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -69,7 +69,14 @@
     // ---- events change beliefs -------------------------------------------------------------------------
 
     @Override
-    public void moment(double at) { now = at; }
+    public void moment(double at) {
+        now = at;
+        // Guards against a halt of this front end itself: what it finds late is no slow executor.
+        health.resumedAt = at - wakeAt > HALT ? at : health.resumedAt;
+    }
+
+    /** A few batches: less is the grid of the clock. */
+    private static final double HALT = 50;
 
     @Override
     public void roster(RosterForm form, List<Listing> listings) {
@@ -123,7 +130,8 @@
     public void ended(Forward fwd, Answer answer) {
         Inference inf = fwd.inference;
         fwd.executor.out.remove(fwd);
-        fwd.copies.count(-1);
+        health.fleet.out.remove(fwd);
+        count(fwd.copies, -1);
         touched.add(inf.model);
         fwd.executor.reported(answer.report(), now);
         learn(fwd, answer);
@@ -156,8 +164,10 @@
                 c.standsUntil = now + loading.keepsIdleFor();
                 review(c);
                 health.trusted(ex, now);
-                if (answer.warmth() == Warmth.FOUND_LOADED || answer.warmth() == Warmth.UNTOLD) {
+                if (fwd.sentAt >= health.resumedAt
+                        && (answer.warmth() == Warmth.FOUND_LOADED || answer.warmth() == Warmth.UNTOLD)) {
                     health.answered(ex, answer.took() / expected(c.model), now);
+                    health.answered(health.fleet, answer.took() / fwd.allowed, now);
                     c.model.pace.add(answer.took(), now, PACE_OVER, PACE_OVER / 5, PACE_FORGET);
                     c.model.groupPace.add(answer.took(), now, PACE_OVER, PACE_OVER / 5, PACE_FORGET);
                 }
@@ -181,6 +191,7 @@
             case TIMED_OUT, CANCELLED -> {
                 // Guards against an executor that never answers: what ended without one still counts as time.
                 ex.took.add(answer.took() / fwd.hope, now, Health.TALLY_SPAN);
+                health.fleet.took.add(answer.took() / fwd.allowed, now, Health.TALLY_SPAN);
                 health.distrusted(ex, answer.outcome() == Outcome.CANCELLED ? 0 : 0.3, now);
             }
             default -> { }
@@ -348,10 +359,15 @@
     private void send(Inference inf, Copies c) {
         unhold(inf);
         inf.next = c;
-        c.count(1);
+        count(c, 1);
         wantedOut.add(inf);
     }
 
+    private void count(Copies c, int more) {
+        c.count(more);
+        health.fleet.inFlight += more;
+    }
+
     /** For this long after something found no room, what is worth clearly less leaves half of it free. */
     private static final double PRESSED = 1000;
 
@@ -379,9 +395,14 @@
         return now >= c.shunnedUntil && rules.mayForward(inf, ex, expected(c.model), now)
                 && expected(c.model) * health.stretch(ex, now) < inf.leavesAt - now
                 && ex.inFlight < health.limit(ex, now) * (yields ? 0.5 : 1)
+                && health.fleet.inFlight < Math.max(health.limit(health.fleet, now) * (yields ? 0.5 : 1),
+                        ALL_BEAR * executors.size() / tier.frontEnds())
                 && (distrust < 0.02 || chance.nextDouble() < Math.exp(-distrust));
     }
 
+    /** So many forwards an executor, all front ends together, are no crowd: about the cores of a machine. */
+    private static final double ALL_BEAR = 4;
+
     /**
      * Busy counts what is there and what was there lately, or else all idle instances would tie, be used in
      * turn, and none would lapse. A few arrivals of a middling model.
@@ -710,7 +731,7 @@
             Copies c = inf.next;
             inf.next = null;
             if (inf.done || !rules.mayForward(inf, c.executor, expected(c.model), now)) {
-                c.count(-1);
+                count(c, -1);
                 if (!inf.done && !inf.anyOut()) {
                     hold(inf);
                 }
@@ -720,7 +741,10 @@
             fwd.copies = c;
             fwd.company = c.inFlight - 1;
             fwd.hope = expected(c.model) + (c.warm > 0 ? 0 : c.model.loadTime);
+            // Where this doubles as a mean, the tail misses the SLO; less shuts healthy executors out too soon.
+            fwd.allowed = Math.max(fwd.hope, 0.375 * inf.group.sloTime());
             c.executor.out.add(fwd);
+            health.fleet.out.add(fwd);
             c.peak = Math.max(c.peak, load(c));
             c.uses.add(1, now, LATELY);
             rules.forwarded(c.executor, expected(c.model), now);
@@ -833,6 +857,15 @@
         /** Twice the shortest answer time is taken for a full but healthy executor. */
         private static final double FULL_STRETCH = 2;
 
+        /**
+         * All executors as one, measured by the SLO time, with a limit of its own. Guards against more than the
+         * fleet can do where a front end has less than one forward for each executor, so that their limits bind
+         * nothing: overload, clients that repeat at once. Harms where most executors are slow at one group only.
+         */
+        private final Executor fleet = new Executor(0);
+        /** When this front end last went on after a halt of its own. */
+        private double resumedAt = Double.NEGATIVE_INFINITY;
+
         /** The limit follows shortest over present answer time, and grows only while it is made use of. */
         void answered(Executor ex, double stretch, double now) {
             ex.took.add(stretch, now, TALLY_SPAN);
@@ -840,7 +873,10 @@
             double limit = Double.isNaN(ex.limit) ? FIRST_LIMIT : ex.limit;
             double ratio = Math.max(0.5, Math.min(1, FULL_STRETCH / stretch(ex, now)));
             double grow = ex.inFlight + 1 >= limit / 2 ? 0.4 : 0;
-            ex.limit = Math.max(1, Math.min(64, limit + 0.2 * (limit * (ratio - 1) + grow)));
+            // A fleet's many answers at once tell no more than one executor's few.
+            double step = ex == fleet ? Math.min(0.2, 1 / limit) : 0.2;
+            double more = ex == fleet ? grow * Math.sqrt(limit) : grow;
+            ex.limit = Math.max(1, Math.min(ex == fleet ? 500 : 64, limit + step * (limit * (ratio - 1) + more)));
         }
 
         /** Turned away: a good part less than what it held. */
@@ -856,10 +892,11 @@
             }
             double took = ex.took.value(now, TALLY_SPAN);
             for (Forward fwd : ex.out) {
-                took += (now - fwd.sentAt) / fwd.hope;
+                took += (now - Math.max(fwd.sentAt, resumedAt)) / (ex == fleet ? fwd.allowed : fwd.hope);
             }
             ex.stretchAt = now;
-            ex.stretch = (CREDIT + took) / (CREDIT + ex.answers.value(now, TALLY_SPAN));
+            double usual = 1;
+            ex.stretch = (CREDIT * usual + took) / (CREDIT + ex.answers.value(now, TALLY_SPAN));
             return ex.stretch;
         }
 
--- a/src/main/java/gradereach/state/Forward.java
+++ b/src/main/java/gradereach/state/Forward.java
@@ -15,6 +15,8 @@
     public int company;
     /** The answer time that it was sent in hope of. */
     public double hope;
+    /** The answer time with which its SLO is still safe. */
+    public double allowed;
     public boolean cancelled;
 
     public Forward(Inference inference, Executor executor, int number, double sentAt) {
