Executors are looked at before one is ordered on; the mean use is that of the last reports heard

Cause: without reports the first of the order counted as unused however full it was, and the mean walked the fleet.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -35,7 +35,7 @@
     private double pressed;
     private double pressedAt = Double.NEGATIVE_INFINITY;
     private double meanUse;
-    private double meanUseAt = Double.NaN;
+    private long reports;
     private double now;
 
     private final List<Inference> wantedOut = new ArrayList<>();
@@ -133,7 +133,7 @@
         health.fleet.out.remove(fwd);
         count(fwd.copies, -1);
         touched.add(inf.model);
-        fwd.executor.reported(answer.report(), now);
+        heardOf(fwd.executor, answer.report());
         learn(fwd, answer);
         if (answer.inferenceDone() || inf.done) {
             left(inf);
@@ -214,7 +214,7 @@
     @Override
     public void probed(Executor ex, Outcome outcome, double took, Report report) {
         ex.probing = false;
-        ex.reported(report, now);
+        heardOf(ex, report);
         if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
             health.distrusted(ex, 2, now);
         }
@@ -260,6 +260,8 @@
                 reviewInference(inf);
             } else if (whom instanceof Copies c) {
                 reviewCopies(c);
+            } else if (whom instanceof Model mdl) {
+                touched.add(mdl);
             } else {
                 lookAround();
             }
@@ -563,7 +565,7 @@
         return mdl.homes;
     }
 
-    /** First in the model's rendezvous order whose use is not far above the mean. */
+    /** First in the model's rendezvous order whose use is not far above the mean; looked at before it is taken. */
     private Copies place(Model mdl) {
         Copies least = null;
         int seen = 0;
@@ -571,8 +573,13 @@
             if (!usable(ex) || mdl.on(ex).pending || now < mdl.on(ex).shunnedUntil) {
                 continue;
             }
+            if (tier.probes() && now - ex.reportAt > 4 * FRESH && !(ex.probing && now - ex.probedAt > ASK_PATIENCE)) {
+                look(ex);
+                alarms.set(now + ASK_PATIENCE, mdl);
+                return null;
+            }
             // Half above the mean is within the reports' noise.
-            if (use(ex) <= 1.5 * meanUse()) {
+            if (use(ex) <= 1.5 * meanUse) {
                 return mdl.on(ex);
             }
             least = least == null || use(ex) < use(least.executor) ? mdl.on(ex) : least;
@@ -583,15 +590,17 @@
         return least;
     }
 
-    /** Over the executors that may be ordered on; worked out once a moment at most. */
-    private double meanUse() {
-        if (meanUseAt != now) {
-            meanUseAt = now;
-            meanUse = executors.stream().filter(rules::mayOrderOn).mapToDouble(this::use).average().orElse(0);
+    /** A mean over the last reports heard: the fleet, seen through what we deal with. */
+    private void heardOf(Executor ex, Report report) {
+        ex.reported(report, now);
+        if (report != null) {
+            meanUse += (use(ex) - meanUse) / Math.min(++reports, MEAN_OVER);
         }
-        return meanUse;
     }
 
+    /** Reports are noisy; about as many executors as a model may have to choose from. */
+    private static final double MEAN_OVER = 20;
+
     private boolean usable(Executor ex) {
         return rules.mayOrderOn(ex) && ex.distrust.value(now, Health.DISTRUST_SPAN) <= 0.7;
     }
