Second forwards only while the fleet is well; four questions at a time

Cause: an executor is always silent to one of many front ends, so second forwards came most where all was slow.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -551,7 +551,7 @@
     private static final double ASK_EVERY = 8000;
     /** Orders go to the first in rendezvous order, so what stands does so on the first few, mostly the nearest. */
     private static final int ASK_DEPTH = 4;
-    private static final int ASK_WIDTH = 3;
+    private static final int ASK_WIDTH = 4;
     /** A few network trips; one that stalls is not waited for. */
     private static final double ASK_PATIENCE = 15;
 
@@ -680,9 +680,10 @@
         }
         Forward first = inf.forwards.get(0);
         Executor ex = first.executor;
-        // Guards against an executor that stalls, crawls or died unseen; does harm where all are slow alike.
-        boolean doubtful = now - first.sentAt > 8 * first.hope
-                && (ex.answeredAt < first.sentAt || health.stretch(ex, now) > 2);
+        // Guards against an executor that stalls or died unseen, while the fleet as a whole is well: where all are
+        // slow alike, second forwards are what slows them.
+        boolean doubtful = now - first.sentAt > 8 * first.hope && ex.answeredAt < first.sentAt
+                && health.stretch(health.fleet, now) < 1.2;
         Copies c = doubtful ? pick(inf.model, inf, ex, true) : null;
         if (c == null) {
             alarms.set(now + 50, inf);
