--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -196,9 +196,6 @@
             }
             default -> { }
         }
-        if (answer.outcome() != Outcome.TIMED_OUT && answer.outcome() != Outcome.CANCELLED) {
-            ex.answeredAt = now;
-        }
     }
 
     /** Answers in a mean: the least of a shorter one would be the luckiest; a fifth of them makes a first. */
@@ -262,8 +259,9 @@
                 reviewCopies(c);
             } else if (whom instanceof Model mdl) {
                 touched.add(mdl);
-            } else {
-                lookAround();
+            } else if (tier.asksRoster() && !following) {
+                following = true;
+                out.followRoster(true);
             }
         }
         touched.addAll(waiting);
@@ -278,13 +276,6 @@
         emit();
     }
 
-    private void lookAround() {
-        if (tier.asksRoster() && !following) {
-            following = true;
-            out.followRoster(true);
-        }
-    }
-
     /** What an answer still brings for its work. */
     private double worth(Inference inf) {
         double late = late(inf) ? inf.group.lateShare() : 1;
@@ -332,16 +323,16 @@
     private void releaseHeld(Model mdl) {
         boolean lanes = true;
         boolean room = true;
-        // Lanes that others fill come free unseen: waiting is worth as much as our own part of them.
-        double patience = ownPart(mdl);
+        // Lanes that others fill come free unseen: only with some of ours out, or a load, is there much to wait for.
+        double patience = mdl.inFlight == 0 && mdl.anyWarm() ? 0 : 1;
         for (Inference inf : mdl.held.toArray(new Inference[0])) {
             // In a long queue the first that finds nothing speaks for the rest, but for those with a past.
             boolean fresh = inf.forwards.isEmpty();
             boolean early = now - inf.takenAt >= earlyPoint(inf) * patience;
-            Copies c = lanes || !fresh ? pick(mdl, inf, null, true) : null;
+            Copies c = lanes || !fresh ? pick(mdl, inf, true) : null;
             lanes &= c != null || !fresh;
             if (c == null && early && (room || !fresh)) {
-                c = pick(mdl, inf, null, false);
+                c = pick(mdl, inf, false);
                 room &= c != null || !fresh;
             }
             if (c != null) {
@@ -378,17 +369,6 @@
         return c.inFlight + c.others.value(now, loading.keepsIdleFor());
     }
 
-    /** Our own part of what is at work on a model's instances. */
-    private double ownPart(Model mdl) {
-        double ours = 0;
-        double all = 0;
-        for (Copies c : mdl.copies) {
-            ours += c.warm > 0 ? c.inFlight : 0;
-            all += c.warm > 0 ? load(c) : 0;
-        }
-        return all > 0 ? ours / all : 1;
-    }
-
     private boolean takes(Copies c, Inference inf) {
         Executor ex = c.executor;
         // Traffic follows distrust: every point leaves about a third of it.
@@ -415,7 +395,7 @@
      * The busiest instance with a free lane, ties random; one too slow for the SLO time comes last. Where lanes
      * do not matter, the least busy one. A second, drawn from the others, is looked at beside it.
      */
-    private Copies pick(Model mdl, Inference inf, Executor not, boolean lanes) {
+    private Copies pick(Model mdl, Inference inf, boolean lanes) {
         if (inf.looksAt != null && now - inf.lookedAt <= ASK_PATIENCE && (unseen(inf.looksAt, inf)
                 || unseen(inf.looksBeside, inf))) {
             return null;
@@ -426,7 +406,7 @@
         int seen = 0;
         for (Copies c : mdl.copies) {
             int copies = lanes || now - c.orderedAt <= ORDER_ARRIVES ? c.warm : Math.max(c.warm, c.ordered);
-            if (copies == 0 || c.executor == not || lanes && load(c) > c.warm * mdl.lanes - 0.5 || !takes(c, inf)) {
+            if (copies == 0 || lanes && load(c) > c.warm * mdl.lanes - 0.5 || !takes(c, inf)) {
                 continue;
             }
             double answers = expected(mdl) * health.stretch(c.executor, now);
@@ -451,13 +431,14 @@
                 return null;
             }
         }
-        Copies one = inf.looksAt;
-        Copies two = inf.looksBeside;
+        Copies one = stillTakes(inf.looksAt, inf) ? inf.looksAt : best;
+        Copies two = stillTakes(inf.looksBeside, inf) ? inf.looksBeside : one;
         inf.looksAt = null;
-        boolean oneTakes = one.warm + one.ordered > 0 && takes(one, inf);
-        boolean twoTakes = two.warm + two.ordered > 0 && takes(two, inf);
-        return !oneTakes && !twoTakes ? best : !oneTakes || twoTakes
-                && use(one.executor) > 1.2 * use(two.executor) ? two : one;
+        return use(one.executor) > 1.2 * use(two.executor) ? two : one;
+    }
+
+    private boolean stillTakes(Copies c, Inference inf) {
+        return c.warm + c.ordered > 0 && takes(c, inf);
     }
 
     private boolean unseen(Copies c, Inference inf) {
@@ -493,7 +474,6 @@
         int lanes = 0;
         int free = 0;
         int coming = 0;
-        double load = 0;
         double others = 0;
         for (Copies c : mdl.copies) {
             if (c.warm + c.ordered + c.inFlight > 0 && usable(c.executor)) {
@@ -501,42 +481,32 @@
                 lanes += c.warm * mdl.lanes;
                 free += Math.max(0, (int) (c.warm * mdl.lanes - here + 0.5));
                 coming += Math.max(0, c.ordered - c.warm) * mdl.lanes;
-                load += here;
                 others += here - c.inFlight;
             }
         }
         int held = mdl.held.size();
         double busy = mdl.lately.value(now, LATELY) / LATELY * expected(mdl) + others;
         // Also where the last instance has just left with its executor: the next would wait for a load.
-        boolean wished = load + held > 0 || mdl.lately.value(now, LATELY) > 0.5;
+        boolean wished = mdl.inFlight + others + held > 0 || mdl.lately.value(now, LATELY) > 0.5;
         boolean out = free <= 0 && wished && (lanes == 0 || busy > LANES_BUSY * lanes
                 || held * expected(mdl) / lanes > mdl.group.sloTime() / 2);
-        if (!out || coming > 0 && coming >= held) {
+        if (!out || coming > 0 && coming >= held || mdl.asksOut > 0 && now - mdl.askedAt <= ASK_PATIENCE) {
             return;
         }
-        if (mdl.asksOut > 0 && now - mdl.askedAt <= ASK_PATIENCE) {
-            return;
-        }
-        int asked = 0;
         int depth = 0;
+        boolean asks = false;
         for (Executor ex : nearest(mdl)) {
-            if (asked == ASK_WIDTH || depth == ASK_DEPTH) {
-                break;
-            }
-            Copies c = rules.mayOrderOn(ex) ? mdl.on(ex) : null;
+            Copies c = depth < ASK_DEPTH && rules.mayOrderOn(ex) ? mdl.on(ex) : null;
             if (c != null && c.warm == 0) {
                 depth++;
                 if (!c.pending && now - c.heardAt > ASK_EVERY) {
-                    asked++;
+                    asks = true;
+                    mdl.askedAt = now;
                     want(c, 0);
                 }
             }
         }
-        if (asked > 0) {
-            mdl.askedAt = now;
-            return;
-        }
-        Copies c = place(mdl);
+        Copies c = asks ? null : place(mdl);
         if (c != null) {
             want(c, c.warm + 1);
         }
@@ -551,7 +521,6 @@
     private static final double ASK_EVERY = 8000;
     /** Orders go to the first in rendezvous order, so what stands does so on the first few, mostly the nearest. */
     private static final int ASK_DEPTH = 4;
-    private static final int ASK_WIDTH = 4;
     /** A few network trips; one that stalls is not waited for. */
     private static final double ASK_PATIENCE = 15;
 
@@ -673,22 +642,6 @@
             } else if (inf.held && now >= lateFrom(inf)) {
                 hold(inf);
             }
-            return;
-        }
-        if (inf.forwards.size() != 1 || !forwarding.secondCopies()) {
-            return;
-        }
-        Forward first = inf.forwards.get(0);
-        Executor ex = first.executor;
-        // Guards against an executor that stalls or died unseen, while the fleet as a whole is well: where all are
-        // slow alike, second forwards are what slows them.
-        boolean doubtful = now - first.sentAt > 8 * first.hope && ex.answeredAt < first.sentAt
-                && health.stretch(health.fleet, now) < 1.2;
-        Copies c = doubtful ? pick(inf.model, inf, ex, true) : null;
-        if (c == null) {
-            alarms.set(now + 50, inf);
-        } else {
-            send(inf, c);
         }
     }
 
@@ -880,7 +833,7 @@
         void answered(Executor ex, double stretch, double now) {
             ex.took.add(stretch, now, TALLY_SPAN);
             ex.answers.add(1, now, TALLY_SPAN);
-            double limit = Double.isNaN(ex.limit) ? FIRST_LIMIT : ex.limit;
+            double limit = soFar(ex);
             double ratio = Math.max(0.5, Math.min(1, FULL_STRETCH / stretch(ex, now)));
             double grow = ex.inFlight + 1 >= limit / 2 ? 0.4 : 0;
             // A fleet's many answers at once tell no more than one executor's few.
@@ -891,8 +844,7 @@
 
         /** Turned away: a good part less than what it held. */
         void full(Executor ex) {
-            double limit = Double.isNaN(ex.limit) ? FIRST_LIMIT : ex.limit;
-            ex.limit = Math.max(1, Math.min(limit, 0.7 * ex.inFlight));
+            ex.limit = Math.max(1, Math.min(soFar(ex), 0.7 * ex.inFlight));
         }
 
         /** Present over expected answer time, counting what is still out as if it ended now. */
@@ -910,10 +862,13 @@
             return ex.stretch;
         }
 
+        private static double soFar(Executor ex) {
+            return Double.isNaN(ex.limit) ? FIRST_LIMIT : ex.limit;
+        }
+
         double limit(Executor ex, double now) {
-            double limit = Double.isNaN(ex.limit) ? FIRST_LIMIT : ex.limit;
             // Answers tell late of a stall; what is out tells at once, but only a wide gap counts.
-            return Math.max(1, limit * Math.min(1, 2 * FULL_STRETCH / stretch(ex, now)));
+            return Math.max(1, soFar(ex) * Math.min(1, 2 * FULL_STRETCH / stretch(ex, now)));
         }
 
         void distrusted(Executor ex, double more, double now) {
--- a/src/main/java/gradereach/state/Copies.java
+++ b/src/main/java/gradereach/state/Copies.java
@@ -35,10 +35,11 @@
         this.executor = executor;
     }
 
-    /** Forwards more or fewer, here and on the executor. */
+    /** Forwards more or fewer, here, on the executor and of the model. */
     public void count(int more) {
         inFlight += more;
         executor.inFlight += more;
+        model.inFlight += more;
     }
 
     /** What is wanted has been asked of the executor. */
--- a/src/main/java/gradereach/state/Executor.java
+++ b/src/main/java/gradereach/state/Executor.java
@@ -30,7 +30,6 @@
     /** Warm answers: how many, and what they took in expected answer times. */
     public final Fading answers = new Fading();
     public final Fading took = new Fading();
-    public double answeredAt = Double.NEGATIVE_INFINITY;
     /** Present over expected answer time, as worked out at {@code stretchAt}. */
     public double stretch = 1;
     public double stretchAt = Double.NaN;
--- a/src/main/java/gradereach/state/Model.java
+++ b/src/main/java/gradereach/state/Model.java
@@ -25,6 +25,8 @@
     /** Inferences taken: in all, and lately. */
     public long count;
     public final Fading lately = new Fading();
+    /** Our own forwards of it. */
+    public int inFlight;
     public int holdsOut;
     public int asksOut;
     public double askedAt = Double.NEGATIVE_INFINITY;
