--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -32,10 +32,8 @@
     private double wakeAt = Double.POSITIVE_INFINITY;
     private int holdsOut;
     private boolean following;
-    private double pressed;
-    private double pressedAt = Double.NEGATIVE_INFINITY;
-    private double meanUse;
-    private long reports;
+    private double pressed, pressedAt = Double.NEGATIVE_INFINITY;
+    private double meanUse, reports;
     private double now;
 
     private final List<Inference> wantedOut = new ArrayList<>();
@@ -68,18 +66,15 @@
 
     // ---- events change beliefs -------------------------------------------------------------------------
 
-    @Override
-    public void moment(double at) {
+    @Override public void moment(double at) {
         now = at;
         // Guards against a halt of this front end itself: what it finds late is no slow executor.
         health.resumedAt = at - wakeAt > HALT ? at : health.resumedAt;
     }
 
-    /** A few batches: less is the grid of the clock. */
-    private static final double HALT = 50;
+    private static final double HALT = 50; // a few batches: less is the grid of the clock
 
-    @Override
-    public void roster(RosterForm form, List<Listing> listings) {
+    @Override public void roster(RosterForm form, List<Listing> listings) {
         if (form == RosterForm.FAILED) {
             following = false;
             // Asked for again a second later: the service is short of capacity.
@@ -109,8 +104,7 @@
         alarms.set(now, this);
     }
 
-    @Override
-    public void taken(Inference inf) {
+    @Override public void taken(Inference inf) {
         Model mdl = inf.model;
         if (mdl.group == null) {
             mdl.group = inf.group;
@@ -121,13 +115,11 @@
         mdl.count++;
         mdl.lately.add(1, now, LATELY);
         hold(inf);
-        alarms.set(now + earlyPoint(inf), inf);
         alarms.set(lateFrom(inf), inf);
         alarms.set(lastMoment(inf), inf);
     }
 
-    @Override
-    public void ended(Forward fwd, Answer answer) {
+    @Override public void ended(Forward fwd, Answer answer) {
         Inference inf = fwd.inference;
         fwd.executor.out.remove(fwd);
         health.fleet.out.remove(fwd);
@@ -152,9 +144,9 @@
         Executor ex = fwd.executor;
         if (answer.crowd() >= 0) {
             double others = Math.max(0, answer.crowd() - fwd.company);
+            double before = load(c) - c.inFlight;
             // Counted in answers: one of many front ends hears seldom, and each crowd met is a fair sample.
-            boolean first = c.others.value(now, loading.keepsIdleFor()) < 0.01;
-            c.others.set(first ? others : 0.7 * c.others.value(now, loading.keepsIdleFor()) + 0.3 * others, now);
+            c.others.set(before < 0.01 ? others : 0.7 * before + 0.3 * others, now);
             c.peak = Math.max(c.peak, answer.crowd() + 1);
         }
         switch (answer.outcome()) {
@@ -203,13 +195,9 @@
     /** The shortest is forgotten by a hundredth a second, so that work that grew is noticed in the end. */
     private static final double PACE_FORGET = 0.00001;
 
-    @Override
-    public void woken(long tag) {
-        wakeAt = Double.POSITIVE_INFINITY;
-    }
+    @Override public void woken(long tag) { wakeAt = Double.POSITIVE_INFINITY; }
 
-    @Override
-    public void probed(Executor ex, Outcome outcome, double took, Report report) {
+    @Override public void probed(Executor ex, Outcome outcome, double took, Report report) {
         ex.probing = false;
         heardOf(ex, report);
         if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
@@ -217,41 +205,30 @@
         }
     }
 
-    @Override
-    public void ordered(Executor ex, Model mdl, Outcome outcome, double took, int standing) {
+    @Override public void ordered(Executor ex, Model mdl, Outcome outcome, double took, int standing) {
         Copies c = mdl.on(ex);
         boolean question = c.orderEnded();
         holdsOut -= question ? 0 : 1;
         touched.add(mdl);
-        switch (outcome) {
-            case RETURNED, FULL, ERROR -> {
-                c.warm = standing;
-                c.heardAt = now;
-                // A question does not renew: what stands has, on the mean, half its idle time left.
-                double stays = question ? loading.keepsIdleFor() / 2 : loading.keepsIdleFor();
-                c.standsUntil = Math.max(c.standsUntil, now + stays);
-                if (outcome != Outcome.RETURNED) {
-                    c.shunnedUntil = now + SHUN;
-                }
-                review(c);
-            }
-            default -> {
-                c.shunnedUntil = now + SHUN;
-                health.distrusted(ex, 0.7, now);
-            }
+        c.shunnedUntil = outcome == Outcome.RETURNED ? c.shunnedUntil : now + SHUN;
+        if (outcome == Outcome.RETURNED || outcome == Outcome.FULL || outcome == Outcome.ERROR) {
+            c.warm = standing;
+            c.heardAt = now;
+            // A question does not renew: what stands has, on the mean, half its idle time left.
+            c.standsUntil = Math.max(c.standsUntil, now + loading.keepsIdleFor() / (question ? 2 : 1));
+            review(c);
+        } else {
+            health.distrusted(ex, 0.7, now);
         }
     }
 
-    /** How long a pair of model and executor that said no is passed over: about one load. */
-    private static final double SHUN = 1000;
+    private static final double SHUN = 1000; // a pair that said no is passed over for about one load
 
-    @Override
-    public void heard(int from, byte[] words) { }
+    @Override public void heard(int from, byte[] words) { }
 
     // ---- what is wanted --------------------------------------------------------------------------------
 
-    @Override
-    public void settle() {
+    @Override public void settle() {
         for (Object whom = alarms.due(now); whom != null; whom = alarms.due(now)) {
             if (whom instanceof Inference inf) {
                 reviewInference(inf);
@@ -278,14 +255,12 @@
 
     /** What an answer still brings for its work. */
     private double worth(Inference inf) {
-        double late = late(inf) ? inf.group.lateShare() : 1;
-        return inf.group.value() * late * (inf.surplus ? shares.surplusValue() : 1) / expected(inf.model);
+        return inf.group.value() * (late(inf) ? inf.group.lateShare() : 1) / expected(inf.model)
+                * (inf.surplus ? shares.surplusValue() : 1);
     }
 
     /** Sent now, the mean inference ends past its SLO time; a client's repeat counts from its first try. */
-    private boolean late(Inference inf) {
-        return inf.repeated || now >= lateFrom(inf);
-    }
+    private boolean late(Inference inf) { return inf.repeated || now >= lateFrom(inf); }
 
     private static double lateFrom(Inference inf) {
         return inf.takenAt + inf.group.sloTime() - expected(inf.model);
@@ -311,19 +286,15 @@
     }
 
     /** Half the SLO time: past it, an instance's queue is the better bet than a lane that may come free. */
-    private static double earlyPoint(Inference inf) {
-        return inf.group.sloTime() / 2;
-    }
+    private static double earlyPoint(Inference inf) { return inf.group.sloTime() / 2; }
 
     /** The last batch but one before the client leaves. */
-    private double lastMoment(Inference inf) {
-        return inf.leavesAt - 3 * tier.tick();
-    }
+    private double lastMoment(Inference inf) { return inf.leavesAt - 3 * tier.tick(); }
 
     private void releaseHeld(Model mdl) {
         boolean lanes = true;
         boolean room = true;
-        // Lanes that others fill come free unseen: only with some of ours out, or a load, is there much to wait for.
+        // Lanes that others fill come free unseen: without any of ours out, there is nothing to wait for.
         double patience = mdl.inFlight == 0 && mdl.anyWarm() ? 0 : 1;
         for (Inference inf : mdl.held.toArray(new Inference[0])) {
             // In a long queue the first that finds nothing speaks for the rest, but for those with a past.
@@ -336,10 +307,14 @@
                 room &= c != null || !fresh;
             }
             if (c != null) {
-                send(inf, c);
+                unhold(inf);
+                inf.next = c;
+                count(c, 1);
+                wantedOut.add(inf);
                 continue;
             }
-            if (early && inf.looksAt == null && mdl.anyWarm() && (now - pressedAt > PRESSED || worth(inf) >= pressed)) {
+            boolean stuck = early && inf.looksAt == null && mdl.anyWarm();
+            if (stuck && (now - pressedAt > PRESSED || worth(inf) >= pressed)) {
                 pressed = worth(inf);
                 pressedAt = now;
             }
@@ -349,13 +324,6 @@
         }
     }
 
-    private void send(Inference inf, Copies c) {
-        unhold(inf);
-        inf.next = c;
-        count(c, 1);
-        wantedOut.add(inf);
-    }
-
     private void count(Copies c, int more) {
         c.count(more);
         health.fleet.inFlight += more;
@@ -365,9 +333,7 @@
     private static final double PRESSED = 1000;
 
     /** Others' inferences there are forgotten as what stands there is. */
-    private double load(Copies c) {
-        return c.inFlight + c.others.value(now, loading.keepsIdleFor());
-    }
+    private double load(Copies c) { return c.inFlight + c.others.value(now, loading.keepsIdleFor()); }
 
     private boolean takes(Copies c, Inference inf) {
         Executor ex = c.executor;
@@ -382,8 +348,7 @@
                 && (distrust < 0.02 || chance.nextDouble() < Math.exp(-distrust));
     }
 
-    /** So many forwards an executor, all front ends together, are no crowd: about the cores of a machine. */
-    private static final double ALL_BEAR = 4;
+    private static final double ALL_BEAR = 4; // so many an executor, from all front ends, are no crowd
 
     /**
      * Busy counts what is there and what was there lately, or else all idle instances would tie, be used in
@@ -392,8 +357,8 @@
     private static final double LATELY = 3000;
 
     /**
-     * The busiest instance with a free lane, ties random; one too slow for the SLO time comes last. Where lanes
-     * do not matter, the least busy one. A second, drawn from the others, is looked at beside it.
+     * The busiest instance with a free lane, ties random; one too slow for the SLO time comes last. Without
+     * {@code lanes} the least busy one. Guards against others' crowds: one more is looked at beside it.
      */
     private Copies pick(Model mdl, Inference inf, boolean lanes) {
         if (inf.looksAt != null && now - inf.lookedAt <= ASK_PATIENCE && (unseen(inf.looksAt, inf)
@@ -437,9 +402,7 @@
         return use(one.executor) > 1.2 * use(two.executor) ? two : one;
     }
 
-    private boolean stillTakes(Copies c, Inference inf) {
-        return c.warm + c.ordered > 0 && takes(c, inf);
-    }
+    private boolean stillTakes(Copies c, Inference inf) { return c.warm + c.ordered > 0 && takes(c, inf); }
 
     private boolean unseen(Copies c, Inference inf) {
         return c.executor.probing && c.executor.reportAt < inf.lookedAt;
@@ -452,11 +415,9 @@
         }
     }
 
-    /** Reports are refreshed a few times a second. */
-    private static final double FRESH = 300;
+    private static final double FRESH = 300; // reports are refreshed a few times a second
 
-    /** A forward may overtake an order sent just before it: a few network trips and a handshake. */
-    private static final double ORDER_ARRIVES = 20;
+    private static final double ORDER_ARRIVES = 20; // a forward may overtake an order: a few network trips
 
     /** Mean answer time of a warm, unhurried copy: the group's shortest, shaped by the model's own mean. */
     private static double expected(Model mdl) {
@@ -515,14 +476,12 @@
     /** The design's starting values: two loads under way for a model, and a small total. */
     private static final int MODEL_LOADS = 2;
     private static final int TOTAL_LOADS = 8;
-    /** Lanes that are out for a moment only are worth a short wait, not a load that outlasts it. */
-    private static final double LANES_BUSY = 0.5;
+    private static final double LANES_BUSY = 0.5; // lanes out for a moment are worth a wait, not a load
     /** Asking what stands is cheap beside a load, but each one asked answers: not more often than this. */
     private static final double ASK_EVERY = 8000;
-    /** Orders go to the first in rendezvous order, so what stands does so on the first few, mostly the nearest. */
+    /** Orders go to the first in rendezvous order, so what stands does so on the first few. */
     private static final int ASK_DEPTH = 4;
-    /** A few network trips; one that stalls is not waited for. */
-    private static final double ASK_PATIENCE = 15;
+    private static final double ASK_PATIENCE = 15; // a few network trips; one that stalls is not waited for
 
     /** The executors in a model's rendezvous order; sorted anew only where the roster has new names. */
     private List<Executor> nearest(Model mdl) {
@@ -534,7 +493,7 @@
         return mdl.homes;
     }
 
-    /** First in the model's rendezvous order whose use is not far above the mean; looked at before it is taken. */
+    /** First in the model's rendezvous order whose use, looked at, is not far above the mean. */
     private Copies place(Model mdl) {
         Copies least = null;
         int seen = 0;
@@ -542,7 +501,8 @@
             if (!usable(ex) || mdl.on(ex).pending || now < mdl.on(ex).shunnedUntil) {
                 continue;
             }
-            if (tier.probes() && now - ex.reportAt > 4 * FRESH && !(ex.probing && now - ex.probedAt > ASK_PATIENCE)) {
+            boolean unheard = ex.probing && now - ex.probedAt > ASK_PATIENCE;
+            if (tier.probes() && now - ex.reportAt > 4 * FRESH && !unheard) {
                 look(ex);
                 alarms.set(now + ASK_PATIENCE, mdl);
                 return null;
@@ -553,7 +513,7 @@
             }
             least = least == null || use(ex) < use(least.executor) ? mdl.on(ex) : least;
             if (++seen == ASK_DEPTH) {
-                break;
+                return least;
             }
         }
         return least;
@@ -567,22 +527,22 @@
         }
     }
 
-    /** Reports are noisy; about as many executors as a model may have to choose from. */
-    private static final double MEAN_OVER = 20;
+    private static final double MEAN_OVER = 20; // as many executors as a model may choose from
 
     private boolean usable(Executor ex) {
         return rules.mayOrderOn(ex) && ex.distrust.value(now, Health.DISTRUST_SPAN) <= 0.7;
     }
 
-    /** What it has to do: as reported, or our own part where no report is fresh; an unheard probe counts as full. */
+    /** What it has to do: as reported, or else our own part; one that leaves a probe unheard is full. */
     private double use(Executor ex) {
         if (ex.probing && now - ex.probedAt > ASK_PATIENCE) {
             return 100;
         }
         Report r = now - ex.reportAt < 4 * FRESH ? ex.report : null;
         double use = r == null ? ex.inFlight : !Double.isNaN(r.inFlight()) ? r.inFlight()
-                : (Double.isNaN(r.queued()) ? 0 : r.queued()) + Math.max(0, r.busy()) / (1.1 - Math.min(1, r.busy()));
-        return (Double.isNaN(use) ? ex.inFlight : use) / ex.size / rules.capacityShare(ex, now);
+                // A share of busy cores says little near 1: turned into what would be there.
+                : (r.queued() > 0 ? r.queued() : 0) + (r.busy() > 0 ? 1 / (1.1 - Math.min(1, r.busy())) : 0);
+        return use / ex.size / rules.capacityShare(ex, now);
     }
 
     private static long rendezvous(Model mdl, Executor ex) {
@@ -605,9 +565,7 @@
     }
 
     /** A tenth of the idle time: late enough to see a last use, early enough for a slow trip. */
-    private double renewLead() {
-        return loading.keepsIdleFor() / 10;
-    }
+    private double renewLead() { return loading.keepsIdleFor() / 10; }
 
     /** Near its idle time's end an instance is renewed if it was used and its model came more than once. */
     private void reviewCopies(Copies c) {
@@ -633,15 +591,11 @@
     }
 
     private void reviewInference(Inference inf) {
-        if (inf.done || inf.verdict != null) {
-            return;
-        }
-        if (inf.held || inf.next != null) {
-            if (now >= lastMoment(inf) - 0.5 && !inf.anyOut()) {
-                giveUp(inf);
-            } else if (inf.held && now >= lateFrom(inf)) {
-                hold(inf);
-            }
+        boolean ours = !inf.done && inf.verdict == null && (inf.held || inf.next != null);
+        if (ours && now >= lastMoment(inf) - 0.5 && !inf.anyOut()) {
+            giveUp(inf);
+        } else if (ours && inf.held && now >= lateFrom(inf)) {
+            hold(inf);
         }
     }
 
@@ -651,8 +605,7 @@
         wantedAnswered.add(inf);
     }
 
-    @Override
-    public void left(Inference inf) {
+    @Override public void left(Inference inf) {
         inf.done = true;
         unhold(inf);
         for (Forward fwd : inf.forwards) {
@@ -663,9 +616,7 @@
         }
     }
 
-    // ---- the difference --------------------------------------------------------------------------------
-
-    /** Sends what is wanted and not yet so. Every rule is asked once more at this door. */
+    /** Sends what is wanted and not yet so; every rule is asked once more at this door. */
     private void emit() {
         wantedCancelled.forEach(out::cancel);
         wantedCancelled.clear();
@@ -676,16 +627,15 @@
             } else if (!inf.done) {
                 out.fail(inf);
             }
-            inf.done = true;
         }
         wantedAnswered.clear();
         for (Copies c : wantedStanding) {
-            boolean asks = c.wanted == 0;
+            int orders = c.wanted == 0 ? 0 : 1;
             if (loading.ordersAllowed() && !c.pending && rules.mayOrderOn(c.executor)
-                    && (asks || rules.mayOrder(now))) {
+                    && (orders == 0 || rules.mayOrder(now))) {
                 c.orderSent(now);
-                rules.orders().add(asks ? 0 : 1, now);
-                holdsOut += asks ? 0 : 1;
+                rules.orders().add(orders, now);
+                holdsOut += orders;
                 out.order(c.executor, c.model, c.wanted);
             }
         }
@@ -704,7 +654,7 @@
             fwd.copies = c;
             fwd.company = c.inFlight - 1;
             fwd.hope = expected(c.model) + (c.warm > 0 ? 0 : c.model.loadTime);
-            // Where this doubles as a mean, the tail misses the SLO; less shuts healthy executors out too soon.
+            // Where the mean is twice this, the tail misses the SLO; less shuts out healthy executors.
             fwd.allowed = Math.max(fwd.hope, 0.375 * inf.group.sloTime());
             c.executor.out.add(fwd);
             health.fleet.out.add(fwd);
@@ -727,8 +677,6 @@
         }
     }
 
-    // ---- the five rules --------------------------------------------------------------------------------
-
     /** What is allowed; holds whatever the rest decides. */
     private record Rules(ColdStartRule cold, LoadRation ration, int frontEnds, ForwardRules forwarding,
             Recent orders, Recent taken, Fading sent, Set<Executor> executors) {
@@ -739,10 +687,8 @@
                     || ration.span() <= 0;
         }
 
-        /** Rule 3, kept without using the grace. */
-        boolean mayOrderOn(Executor ex) {
-            return ex.standing == Standing.READY;
-        }
+        /** Rule 3, without its grace. */
+        boolean mayOrderOn(Executor ex) { return ex.standing == Standing.READY; }
 
         /** Rules 1 to 4. */
         boolean mayForward(Inference inf, Executor ex, double work, double now) {
@@ -800,13 +746,11 @@
 
         void forwarded(Executor ex, double work, double now) {
             sent.add(work, now, cold.warmWithin());
-            ex.coldWork.add(work, now);
+            ex.coldWork.add(capacityShare(ex, now - cold.fallTime()) < 1 ? work : 0, now);
             ex.coldWork.since(now - cold.fallTime());
         }
     }
 
-    // ---- health ----------------------------------------------------------------------------------------
-
     /** How far each executor is to be trusted, and how much it may hold of ours. */
     private static final class Health {
         /** Long enough for a handful of answers, short beside the troubles that last ten seconds and more. */
@@ -817,13 +761,12 @@
         private static final double DISTRUST_SPAN = 2000;
         /** Before answers tell; a few cores' worth. */
         private static final double FIRST_LIMIT = 8;
-        /** Twice the shortest answer time is taken for a full but healthy executor. */
-        private static final double FULL_STRETCH = 2;
+        private static final double FULL_STRETCH = 2; // a full but healthy executor: twice the shortest
 
         /**
-         * All executors as one, measured by the SLO time, with a limit of its own. Guards against more than the
-         * fleet can do where a front end has less than one forward for each executor, so that their limits bind
-         * nothing: overload, clients that repeat at once. Harms where most executors are slow at one group only.
+         * All executors as one, measured by the SLO time, with a limit of its own. Guards against overload
+         * and clients that repeat at once, where less than one forward for each executor makes their limits bind
+         * nothing. Harms where many executors are slow at one group only.
          */
         private final Executor fleet = new Executor(0);
         /** When this front end last went on after a halt of its own. */
@@ -839,13 +782,11 @@
             // A fleet's many answers at once tell no more than one executor's few.
             double step = ex == fleet ? Math.min(0.2, 1 / limit) : 0.2;
             double more = ex == fleet ? grow * Math.sqrt(limit) : grow;
-            ex.limit = Math.max(1, Math.min(ex == fleet ? 500 : 64, limit + step * (limit * (ratio - 1) + more)));
+            ex.limit = Math.max(1, Math.min(500, limit + step * (limit * (ratio - 1) + more)));
         }
 
         /** Turned away: a good part less than what it held. */
-        void full(Executor ex) {
-            ex.limit = Math.max(1, Math.min(soFar(ex), 0.7 * ex.inFlight));
-        }
+        void full(Executor ex) { ex.limit = Math.max(1, Math.min(soFar(ex), 0.7 * ex.inFlight)); }
 
         /** Present over expected answer time, counting what is still out as if it ended now. */
         double stretch(Executor ex, double now) {
@@ -857,14 +798,11 @@
                 took += (now - Math.max(fwd.sentAt, resumedAt)) / (ex == fleet ? fwd.allowed : fwd.hope);
             }
             ex.stretchAt = now;
-            double usual = 1;
-            ex.stretch = (CREDIT * usual + took) / (CREDIT + ex.answers.value(now, TALLY_SPAN));
+            ex.stretch = (CREDIT + took) / (CREDIT + ex.answers.value(now, TALLY_SPAN));
             return ex.stretch;
         }
 
-        private static double soFar(Executor ex) {
-            return Double.isNaN(ex.limit) ? FIRST_LIMIT : ex.limit;
-        }
+        private static double soFar(Executor ex) { return Double.isNaN(ex.limit) ? FIRST_LIMIT : ex.limit; }
 
         double limit(Executor ex, double now) {
             // Answers tell late of a stall; what is out tells at once, but only a wide gap counts.
@@ -882,8 +820,6 @@
         }
     }
 
-    // ---- shares ----------------------------------------------------------------------------------------
-
     /** Whose inferences are beyond their customer's share, by this front end's part of the quota. */
     private record Shares(double surplusValue, double[] rates, List<Fading> taken) {
         /** A few seconds, so that a short crowd at the door is not yet a surplus. */
