A cold executor's part below one inference is drawn for

Cause: with many front ends each one's part of a cold executor's budget is less than one inference, so none ever went there until it was warm; after a rolling deploy half of the fleet stood idle. Now each draws for its turn, one inference within the rule's time, with the chance that keeps the sum at three quarters of the bearable.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -53,7 +53,7 @@
         this.forwarding = forwarding;
         int frontEnds = Math.max(1, tier.frontEnds());
         rules = new Rules(coldStarts, ration, frontEnds, forwarding, new Recent(), new Recent(), new Fading(),
-                executors);
+                executors, chance);
         shares = new Shares(surplusValue, customers.stream().mapToDouble(c -> c.quotaPerSecond() / frontEnds)
                 .toArray(), customers.stream().map(c -> new Fading()).toList());
         for (ModelGroup group : groups) {
@@ -190,10 +190,8 @@
         }
     }
 
-    /** Answers in a mean: the least of a shorter one would be the luckiest; a fifth of them makes a first. */
-    private static final int PACE_OVER = 100;
-    /** The shortest is forgotten by a hundredth a second, so that work that grew is noticed in the end. */
-    private static final double PACE_FORGET = 0.00001;
+    private static final int PACE_OVER = 100; // the least of a shorter mean would be the luckiest
+    private static final double PACE_FORGET = 0.00001; // a hundredth a second: work that grew is noticed
 
     @Override public void woken(long tag) { wakeAt = Double.POSITIVE_INFINITY; }
 
@@ -679,7 +677,7 @@
 
     /** What is allowed; holds whatever the rest decides. */
     private record Rules(ColdStartRule cold, LoadRation ration, int frontEnds, ForwardRules forwarding,
-            Recent orders, Recent taken, Fading sent, Set<Executor> executors) {
+            Recent orders, Recent taken, Fading sent, Set<Executor> executors, Random chance) {
         /** Rule 5. Orders leave the count a little late, inferences a little early: clocks round. */
         boolean mayOrder(double now) {
             double ordered = orders.since(now - ration.span() - 1);
@@ -734,14 +732,20 @@
             return Math.min(1, cold.startShare() + (1 - cold.startShare()) * age);
         }
 
-        /** Rule 4: our part of one core, or else what an executor usually takes of ours. */
+        /** Rule 4: our part of one core, or of what an executor usually takes; below an inference, a draw. */
         private boolean coldRoom(Executor ex, double work, double now) {
             double share = capacityShare(ex, now - cold.fallTime());
             // Over a time longer than a burst, which must not pass for what executors can take.
             double usual = sent.value(now, cold.warmWithin()) / cold.warmWithin() / executors.size();
             // Three quarters of the bearable: the rest is for inferences that turn out longer than the mean.
-            return share >= 1 || cold.fallMultiple() <= 0 || ex.coldWork.since(now - cold.fallTime()) + work
-                    <= 0.75 * cold.fallMultiple() * cold.fallTime() * share * Math.max(1d / frontEnds, usual);
+            double bears = 0.75 * cold.fallMultiple() * cold.fallTime() * share;
+            double part = bears * Math.max(1d / frontEnds, usual);
+            if (now >= ex.drawnUntil) {
+                ex.drawnUntil = now + cold.fallTime();
+                ex.drawn = chance.nextDouble() * work < part;
+            }
+            double sentThere = ex.coldWork.since(now - cold.fallTime());
+            return share >= 1 || bears <= 0 || sentThere + work <= part || ex.drawn && sentThere <= 0;
         }
 
         void forwarded(Executor ex, double work, double now) {
@@ -753,20 +757,16 @@
 
     /** How far each executor is to be trusted, and how much it may hold of ours. */
     private static final class Health {
-        /** Long enough for a handful of answers, short beside the troubles that last ten seconds and more. */
-        private static final double TALLY_SPAN = 3000;
-        /** Answers that every executor is credited with. */
-        private static final double CREDIT = 3;
-        /** Distrust fades to a third in this time: as long as a short outage. */
-        private static final double DISTRUST_SPAN = 2000;
-        /** Before answers tell; a few cores' worth. */
-        private static final double FIRST_LIMIT = 8;
+        private static final double TALLY_SPAN = 3000; // a handful of answers; troubles last ten seconds
+        private static final double CREDIT = 3; // good answers that every executor is credited with
+        private static final double DISTRUST_SPAN = 2000; // fades to a third: as long as a short outage
+        private static final double FIRST_LIMIT = 8; // before answers tell; a few cores' worth
         private static final double FULL_STRETCH = 2; // a full but healthy executor: twice the shortest
 
         /**
-         * All executors as one, measured by the SLO time, with a limit of its own. Guards against overload, and
-         * clients that repeat at once, where less than one forward for each executor leaves their limits idle.
-         * Harms where many executors are slow at one group only.
+         * All executors as one, measured by the SLO time, with a limit of its own. Guards against overload,
+         * and against clients that repeat at once, where less than one forward for each executor leaves
+         * their own limits idle. Harms where many executors are slow at one group only.
          */
         private final Executor fleet = new Executor(0);
         /** When this front end last went on after a halt of its own. */
--- a/src/main/java/gradereach/state/Executor.java
+++ b/src/main/java/gradereach/state/Executor.java
@@ -36,6 +36,9 @@
     /** Most of our forwards at once; NaN before the first answer. */
     public double limit = Double.NaN;
     public final Fading distrust = new Fading();
+    /** Whether one inference may go while it is cold, and until when that was drawn. */
+    public boolean drawn;
+    public double drawnUntil = Double.NEGATIVE_INFINITY;
     /** Work sent while it was cold. */
     public final Recent coldWork = new Recent();
 
--- a/src/test/java/gradereach/PolicyTest.java
+++ b/src/test/java/gradereach/PolicyTest.java
@@ -154,6 +154,27 @@
         assertTrue(fe.forwards.size() >= 5 && fe.forwards.size() <= 13, () -> "" + fe.forwards.size());
     }
 
+    @ParameterizedTest
+    @CsvSource({"1, 300, 2000", "40, 2, 24", "400, 0, 24"})
+    void allFrontEndsTogetherSendAColdExecutorNoMoreThanItBears(int frontEnds, int atLeast, int atMost) {
+        int sent = 0;
+        for (int i = 1; i <= frontEnds; i++) {
+            Model model = new Model(7);
+            model.lanes = 100;
+            FrontEnd fe = new FrontEnd();
+            fe.frontEnds = frontEnds;
+            fe.start(i * 0x9e3779b97f4a7c15L, 1, 1999).take(2000, FrontEnd.RETRIABLE, model);
+            fe.standing(2001, model, 16);
+            for (int n = 0; n < 5; n++) {
+                fe.take(2010 + 500 * n, FrontEnd.RETRIABLE, model);
+            }
+            sent += fe.forwards.size();
+        }
+        // 1800 ms of work within 3 s: at 100 ms an inference 18, with some slack for chance.
+        int all = frontEnds == 1 ? sent * 100 : sent;
+        assertTrue(all >= atLeast && all <= atMost, () -> "" + all);
+    }
+
     @Test
     void loadOrdersKeepWithinTheRation() {
         FrontEnd fe = new FrontEnd();
