--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -33,7 +33,7 @@
     private int holdsOut;
     private boolean following;
     private double pressed, pressedAt = Double.NEGATIVE_INFINITY;
-    private double meanUse, reports;
+    private double meanUse, reports, credit = 30;
     private double now;
 
     private final List<Inference> wantedOut = new ArrayList<>();
@@ -111,6 +111,7 @@
             mdl.groupPace = groupPaces.get(groups.indexOf(inf.group));
         }
         rules.taken().add(1, now);
+        credit = Math.min(50, credit + 5);
         inf.surplus = shares.surplus(inf.customer, now);
         mdl.count++;
         mdl.lately.add(1, now, LATELY);
@@ -327,8 +328,7 @@
         health.fleet.inFlight += more;
     }
 
-    /** For this long after something found no room, what is worth clearly less leaves half of it free. */
-    private static final double PRESSED = 1000;
+    private static final double PRESSED = 1000; // so long does what is worth clearly less leave half free
 
     /** Others' inferences there are forgotten as what stands there is. */
     private double load(Copies c) { return c.inFlight + c.others.value(now, loading.keepsIdleFor()); }
@@ -407,12 +407,15 @@
     }
 
     private void look(Executor ex) {
-        if (!ex.probing && now - ex.reportAt > FRESH) {
+        if (!ex.probing && now - ex.reportAt > FRESH && pays()) {
             ex.probing = true;
             wantedProbed.add(ex);
         }
     }
 
+    /** Five looks or questions an inference, ten's at once. Guards against asking more the worse it is. */
+    private boolean pays() { return credit >= 1 && credit-- >= 1; }
+
     private static final double FRESH = 300; // reports are refreshed a few times a second
 
     private static final double ORDER_ARRIVES = 20; // a forward may overtake an order: a few network trips
@@ -458,7 +461,7 @@
             Copies c = depth < ASK_DEPTH && rules.mayOrderOn(ex) ? mdl.on(ex) : null;
             if (c != null && c.warm == 0) {
                 depth++;
-                if (!c.pending && now - c.heardAt > ASK_EVERY) {
+                if (!c.pending && now - c.heardAt > ASK_EVERY && pays()) {
                     asks = true;
                     mdl.askedAt = now;
                     want(c, 0);
@@ -500,7 +503,7 @@
                 continue;
             }
             boolean unheard = ex.probing && now - ex.probedAt > ASK_PATIENCE;
-            if (tier.probes() && now - ex.reportAt > 4 * FRESH && !unheard) {
+            if (tier.probes() && now - ex.reportAt > 4 * FRESH && !unheard && credit >= 1) {
                 look(ex);
                 alarms.set(now + ASK_PATIENCE, mdl);
                 return null;
@@ -620,7 +623,6 @@
         wantedCancelled.clear();
         for (Inference inf : wantedAnswered) {
             if (!inf.done && inf.verdict == Verdict.SHED) {
-                // It was held to the last: what comes back at once finds the same crowd.
                 out.shed(inf, forwarding.clientsHearPause() ? forwarding.longestPause() : 0);
             } else if (!inf.done) {
                 out.fail(inf);
@@ -822,8 +824,7 @@
 
     /** Whose inferences are beyond their customer's share, by this front end's part of the quota. */
     private record Shares(double surplusValue, double[] rates, List<Fading> taken) {
-        /** A few seconds, so that a short crowd at the door is not yet a surplus. */
-        private static final double SPAN = 3000;
+        private static final double SPAN = 3000; // a short crowd at the door is not yet a surplus
 
         boolean surplus(int i, double now) {
             if (i < 0 || i >= rates.length || rates[i] <= 0) {
