--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -670,7 +670,7 @@
         }
         wantedProbed.clear();
         // While something is held, look again soon: a lane, a limit or a distrust may have changed.
-        double next = Math.min(alarms.next(), waiting.isEmpty() ? Double.POSITIVE_INFINITY : now + 10);
+        double next = Math.min(alarms.next(), waiting.isEmpty() ? Double.POSITIVE_INFINITY : now + 20);
         if (next < wakeAt) {
             wakeAt = next;
             out.wake(Math.max(0, next - now), 0);
