--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -33,7 +33,7 @@
     private int holdsOut;
     private boolean following;
     private double pressed, pressedAt = Double.NEGATIVE_INFINITY;
-    private double meanUse, reports, credit = 30;
+    private double meanUse, reports, credit = 80;
     private double now;
 
     private final List<Inference> wantedOut = new ArrayList<>();
@@ -111,7 +111,7 @@
             mdl.groupPace = groupPaces.get(groups.indexOf(inf.group));
         }
         rules.taken().add(1, now);
-        credit = Math.min(50, credit + 5);
+        credit = Math.min(80, credit + 8);
         inf.surplus = shares.surplus(inf.customer, now);
         mdl.count++;
         mdl.lately.add(1, now, LATELY);
@@ -413,7 +413,7 @@
         }
     }
 
-    /** Five looks or questions an inference, ten's at once. Guards against asking more the worse it is. */
+    /** Eight looks or questions an inference, ten's at once. Guards against asking more the worse it is. */
     private boolean pays() { return credit >= 1 && credit-- >= 1; }
 
     private static final double FRESH = 300; // reports are refreshed a few times a second
@@ -669,8 +669,9 @@
             out.probe(ex);
         }
         wantedProbed.clear();
-        // While something is held, look again soon: a lane, a limit or a distrust may have changed.
-        double next = Math.min(alarms.next(), waiting.isEmpty() ? Double.POSITIVE_INFINITY : now + 20);
+        // While something is held, look again soon, but no more than a thousand models a second.
+        double again = waiting.isEmpty() ? Double.POSITIVE_INFINITY : now + Math.max(10, waiting.size());
+        double next = Math.min(alarms.next(), again);
         if (next < wakeAt) {
             wakeAt = next;
             out.wake(Math.max(0, next - now), 0);
@@ -739,8 +740,7 @@
             double share = capacityShare(ex, now - cold.fallTime());
             // Over a time longer than a burst, which must not pass for what executors can take.
             double usual = sent.value(now, cold.warmWithin()) / cold.warmWithin() / executors.size();
-            // Three quarters of the bearable: the rest is for inferences that turn out longer than the mean.
-            double bears = 0.75 * cold.fallMultiple() * cold.fallTime() * share;
+            double bears = 0.75 * cold.fallMultiple() * cold.fallTime() * share; // the rest: long ones
             double part = bears * Math.max(1d / frontEnds, usual);
             if (now >= ex.drawnUntil) {
                 ex.drawnUntil = now + cold.fallTime();
