Reread: a look counts as out from its moment on; dead conditions and copies of one test removed

- A look set its executor as probed at once, its time only when sent, so in that moment it counted as unheard for long and full, for other models too; an overdue look also went into the mean use with an answer's own report.
One predicate tells how long a probe is unheard, emit() alone marks it as out, and lookedAt is gone.
- Since one forward is out at a time, conditions on a second one were dead: dropped, with Inference.anyOut.
- The walk over the executors to ask had lost its end when the module was folded.
- A cold executor's draw is kept as drawn, so that each model's work meets its own chance; warm ones draw nothing.
- The credit for looks has one constant with its reason; reasons lost in folding are back.

Left as it is: executors that are gone still count in the fleet's size.

--- a/src/main/java/gradereach/Policy.java
+++ b/src/main/java/gradereach/Policy.java
@@ -30,17 +30,17 @@
     private final Set<Model> waiting = new LinkedHashSet<>();
     private final Alarms alarms = new Alarms();
     private double wakeAt = Double.POSITIVE_INFINITY;
-    private int holdsOut;
+    private int holdsOut, credit = 10 * PAID;
     private boolean following;
     private double pressed, pressedAt = Double.NEGATIVE_INFINITY;
-    private double meanUse, reports, credit = 80;
+    private double meanUse, reports;
     private double now;
 
     private final List<Inference> wantedOut = new ArrayList<>();
     private final List<Inference> wantedAnswered = new ArrayList<>();
     private final List<Forward> wantedCancelled = new ArrayList<>();
     private final Set<Copies> wantedStanding = new LinkedHashSet<>();
-    private final List<Executor> wantedProbed = new ArrayList<>();
+    private final Set<Executor> wantedProbed = new LinkedHashSet<>();
 
     public Policy(Outlet out, Random chance, Tier tier, List<ModelGroup> groups, List<Customer> customers,
             double surplusValue, ColdStartRule coldStarts, LoadRation ration, Loading loading,
@@ -111,7 +111,7 @@
             mdl.groupPace = groupPaces.get(groups.indexOf(inf.group));
         }
         rules.taken().add(1, now);
-        credit = Math.min(80, credit + 8);
+        credit = Math.min(10 * PAID, credit + PAID);
         inf.surplus = shares.surplus(inf.customer, now);
         mdl.count++;
         mdl.lately.add(1, now, LATELY);
@@ -130,13 +130,11 @@
         learn(fwd, answer);
         if (answer.inferenceDone() || inf.done) {
             left(inf);
-        } else if (!inf.anyOut() && !inf.held && inf.next == null) {
-            if (now < lastMoment(inf) && inf.forwards.size() < forwarding.mostForwards()
-                    && (!inf.mayHaveRun() || inf.group.repeat() != Repeat.NON_RETRIABLE)) {
-                hold(inf);
-            } else {
-                giveUp(inf);
-            }
+        } else if (now < lastMoment(inf) && inf.forwards.size() < forwarding.mostForwards()
+                && (!inf.mayHaveRun() || inf.group.repeat() != Repeat.NON_RETRIABLE)) {
+            hold(inf);
+        } else {
+            giveUp(inf);
         }
     }
 
@@ -294,11 +292,11 @@
         boolean lanes = true;
         boolean room = true;
         // Lanes that others fill come free unseen: without any of ours out, there is nothing to wait for.
-        double patience = mdl.inFlight == 0 && mdl.anyWarm() ? 0 : 1;
+        boolean waits = mdl.inFlight > 0 || !mdl.anyWarm();
         for (Inference inf : mdl.held.toArray(new Inference[0])) {
             // In a long queue the first that finds nothing speaks for the rest, but for those with a past.
             boolean fresh = inf.forwards.isEmpty();
-            boolean early = now - inf.takenAt >= earlyPoint(inf) * patience;
+            boolean early = !waits || now - inf.takenAt >= earlyPoint(inf);
             Copies c = lanes || !fresh ? pick(mdl, inf, true) : null;
             lanes &= c != null || !fresh;
             if (c == null && early && (room || !fresh)) {
@@ -328,7 +326,7 @@
         health.fleet.inFlight += more;
     }
 
-    private static final double PRESSED = 1000; // so long does what is worth clearly less leave half free
+    private static final double PRESSED = 1000; // for so long the clearly less worth leave half of it free
 
     /** Others' inferences there are forgotten as what stands there is. */
     private double load(Copies c) { return c.inFlight + c.others.value(now, loading.keepsIdleFor()); }
@@ -359,8 +357,7 @@
      * {@code lanes} the least busy one. Guards against others' crowds: one more is looked at beside it.
      */
     private Copies pick(Model mdl, Inference inf, boolean lanes) {
-        if (inf.looksAt != null && now - inf.lookedAt <= ASK_PATIENCE && (unseen(inf.looksAt, inf)
-                || unseen(inf.looksBeside, inf))) {
+        if (inf.looksAt != null && (awaited(inf.looksAt.executor) || awaited(inf.looksBeside.executor))) {
             return null;
         }
         Copies best = null;
@@ -387,35 +384,41 @@
         if (inf.looksAt == null) {
             inf.looksAt = best;
             inf.looksBeside = other;
-            inf.lookedAt = now;
-            look(best.executor);
-            look(other.executor);
-            if (unseen(best, inf) || unseen(other, inf)) {
+            if (look(best.executor) | look(other.executor)) {
                 return null;
             }
         }
         Copies one = stillTakes(inf.looksAt, inf) ? inf.looksAt : best;
         Copies two = stillTakes(inf.looksBeside, inf) ? inf.looksBeside : one;
         inf.looksAt = null;
+        // A fifth more is what reports are off by.
         return use(one.executor) > 1.2 * use(two.executor) ? two : one;
     }
 
     private boolean stillTakes(Copies c, Inference inf) { return c.warm + c.ordered > 0 && takes(c, inf); }
 
-    private boolean unseen(Copies c, Inference inf) {
-        return c.executor.probing && c.executor.reportAt < inf.lookedAt;
+    /** Probes it where its report is old; whether the answer is worth a wait. */
+    private boolean look(Executor ex) {
+        if (!ex.probing && now - ex.reportAt > FRESH && credit > 0 && wantedProbed.add(ex)) {
+            credit--;
+        }
+        return awaited(ex);
     }
 
-    private void look(Executor ex) {
-        if (!ex.probing && now - ex.reportAt > FRESH && pays()) {
-            ex.probing = true;
-            wantedProbed.add(ex);
-        }
+    private boolean awaited(Executor ex) {
+        return wantedProbed.contains(ex) || unheardFor(ex) > 0 && unheardFor(ex) <= ASK_PATIENCE;
     }
 
-    /** Eight looks or questions an inference, ten's at once. Guards against asking more the worse it is. */
-    private boolean pays() { return credit >= 1 && credit-- >= 1; }
+    /** How long a probe has been out without any report since; 0 where none is. */
+    private double unheardFor(Executor ex) {
+        return ex.probing && ex.reportAt < ex.probedAt ? now - ex.probedAt : 0;
+    }
 
+    /**
+     * Looks and questions an inference taken pays for, ten's at once; three are used when all is well. Guards
+     * against a fleet that is asked more the worse it is; harms a front end that restarts into many models.
+     */
+    private static final int PAID = 8;
     private static final double FRESH = 300; // reports are refreshed a few times a second
 
     private static final double ORDER_ARRIVES = 20; // a forward may overtake an order: a few network trips
@@ -456,30 +459,28 @@
             return;
         }
         int depth = 0;
-        boolean asks = false;
-        for (Executor ex : nearest(mdl)) {
-            Copies c = depth < ASK_DEPTH && rules.mayOrderOn(ex) ? mdl.on(ex) : null;
+        List<Executor> near = nearest(mdl);
+        for (int i = 0; i < near.size() && depth < ASK_DEPTH; i++) {
+            Copies c = rules.mayOrderOn(near.get(i)) ? mdl.on(near.get(i)) : null;
             if (c != null && c.warm == 0) {
                 depth++;
-                if (!c.pending && now - c.heardAt > ASK_EVERY && pays()) {
-                    asks = true;
+                if (!c.pending && now - c.heardAt > ASK_EVERY && credit > 0) {
+                    credit--;
                     mdl.askedAt = now;
                     want(c, 0);
                 }
             }
         }
-        Copies c = asks ? null : place(mdl);
+        Copies c = mdl.askedAt == now ? null : place(mdl);
         if (c != null) {
             want(c, c.warm + 1);
         }
     }
 
     /** The design's starting values: two loads under way for a model, and a small total. */
-    private static final int MODEL_LOADS = 2;
-    private static final int TOTAL_LOADS = 8;
+    private static final int MODEL_LOADS = 2, TOTAL_LOADS = 8;
     private static final double LANES_BUSY = 0.5; // lanes out for a moment are worth a wait, not a load
-    /** Asking what stands is cheap beside a load, but each one asked answers: not more often than this. */
-    private static final double ASK_EVERY = 8000;
+    private static final double ASK_EVERY = 8000; // cheap beside a load, but each one asked must answer
     /** Orders go to the first in rendezvous order, so what stands does so on the first few. */
     private static final int ASK_DEPTH = 4;
     private static final double ASK_PATIENCE = 15; // a few network trips; one that stalls is not waited for
@@ -502,9 +503,7 @@
             if (!usable(ex) || mdl.on(ex).pending || now < mdl.on(ex).shunnedUntil) {
                 continue;
             }
-            boolean unheard = ex.probing && now - ex.probedAt > ASK_PATIENCE;
-            if (tier.probes() && now - ex.reportAt > 4 * FRESH && !unheard && credit >= 1) {
-                look(ex);
+            if (tier.probes() && now - ex.reportAt > 4 * FRESH && look(ex)) {
                 alarms.set(now + ASK_PATIENCE, mdl);
                 return null;
             }
@@ -536,11 +535,9 @@
 
     /** What it has to do: as reported, or else our own part; one that leaves a probe unheard is full. */
     private double use(Executor ex) {
-        if (ex.probing && now - ex.probedAt > ASK_PATIENCE) {
-            return 100;
-        }
         Report r = now - ex.reportAt < 4 * FRESH ? ex.report : null;
-        double use = r == null ? ex.inFlight : !Double.isNaN(r.inFlight()) ? r.inFlight()
+        double use = unheardFor(ex) > ASK_PATIENCE ? 100 // more than most executors hold
+                : r == null ? ex.inFlight : !Double.isNaN(r.inFlight()) ? r.inFlight()
                 // A share of busy cores says little near 1: turned into what would be there.
                 : (r.queued() > 0 ? r.queued() : 0) + (r.busy() > 0 ? 1 / (1.1 - Math.min(1, r.busy())) : 0);
         return use / ex.size / rules.capacityShare(ex, now);
@@ -592,10 +589,9 @@
     }
 
     private void reviewInference(Inference inf) {
-        boolean ours = !inf.done && inf.verdict == null && (inf.held || inf.next != null);
-        if (ours && now >= lastMoment(inf) - 0.5 && !inf.anyOut()) {
+        if (inf.held && now >= lastMoment(inf) - 0.5) {
             giveUp(inf);
-        } else if (ours && inf.held && now >= lateFrom(inf)) {
+        } else if (inf.held && now >= lateFrom(inf)) {
             hold(inf);
         }
     }
@@ -623,6 +619,7 @@
         wantedCancelled.clear();
         for (Inference inf : wantedAnswered) {
             if (!inf.done && inf.verdict == Verdict.SHED) {
+                // It was held to the last: what comes back at once finds the same crowd.
                 out.shed(inf, forwarding.clientsHearPause() ? forwarding.longestPause() : 0);
             } else if (!inf.done) {
                 out.fail(inf);
@@ -645,7 +642,7 @@
             inf.next = null;
             if (inf.done || !rules.mayForward(inf, c.executor, expected(c.model), now)) {
                 count(c, -1);
-                if (!inf.done && !inf.anyOut()) {
+                if (!inf.done) {
                     hold(inf);
                 }
                 continue;
@@ -738,22 +735,25 @@
         /** Rule 4: our part of one core, or of what an executor usually takes; below an inference, a draw. */
         private boolean coldRoom(Executor ex, double work, double now) {
             double share = capacityShare(ex, now - cold.fallTime());
+            double sentThere = ex.coldWork.since(now - cold.fallTime());
+            if (share >= 1 || cold.fallMultiple() <= 0) {
+                return true;
+            }
             // Over a time longer than a burst, which must not pass for what executors can take.
             double usual = sent.value(now, cold.warmWithin()) / cold.warmWithin() / executors.size();
-            double bears = 0.75 * cold.fallMultiple() * cold.fallTime() * share; // the rest: long ones
+            // Three quarters of the bearable: the rest is for inferences that turn out longer than the mean.
+            double bears = 0.75 * cold.fallMultiple() * cold.fallTime() * share;
             double part = bears * Math.max(1d / frontEnds, usual);
             if (now >= ex.drawnUntil) {
                 ex.drawnUntil = now + cold.fallTime();
-                ex.drawn = chance.nextDouble() * work < part;
+                ex.draw = chance.nextDouble();
             }
-            double sentThere = ex.coldWork.since(now - cold.fallTime());
-            return share >= 1 || bears <= 0 || sentThere + work <= part || ex.drawn && sentThere <= 0;
+            return sentThere + work <= Math.max(part, ex.draw * work < part ? work : 0);
         }
 
         void forwarded(Executor ex, double work, double now) {
             sent.add(work, now, cold.warmWithin());
-            ex.coldWork.add(capacityShare(ex, now - cold.fallTime()) < 1 ? work : 0, now);
-            ex.coldWork.since(now - cold.fallTime());
+            ex.coldWork.add(work, now);
         }
     }
 
--- a/src/main/java/gradereach/state/Executor.java
+++ b/src/main/java/gradereach/state/Executor.java
@@ -36,10 +36,10 @@
     /** Most of our forwards at once; NaN before the first answer. */
     public double limit = Double.NaN;
     public final Fading distrust = new Fading();
-    /** Whether one inference may go while it is cold, and until when that was drawn. */
-    public boolean drawn;
+    /** Drawn from 0 to 1 for our turn while it is cold, and until when that holds. */
+    public double draw;
     public double drawnUntil = Double.NEGATIVE_INFINITY;
-    /** Work sent while it was cold. */
+    /** Work sent lately. */
     public final Recent coldWork = new Recent();
 
     public Executor(long id) {
--- a/src/main/java/gradereach/state/Inference.java
+++ b/src/main/java/gradereach/state/Inference.java
@@ -33,7 +33,6 @@
     /** The two instances whose executors are looked at before it goes to one of them. */
     public Copies looksAt;
     public Copies looksBeside;
-    public double lookedAt;
     /** Where it should go next, null for nowhere. */
     public Copies next;
     /** Its final answer as decided; null while there is none. */
@@ -51,15 +50,6 @@
         this.repeated = repeated;
     }
 
-    public boolean anyOut() {
-        for (Forward fwd : forwards) {
-            if (fwd.outcome == null) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Whether a forward is out or ended without proof that it never ran. */
     public boolean mayHaveRun() {
         for (Forward fwd : forwards) {
