--- a/benchlink/src/main/java/gradereach/benchlink/BadInput.java
+++ b/benchlink/src/main/java/gradereach/benchlink/BadInput.java
@@ -3,10 +3,10 @@
 import java.io.IOException;
 
 /** Input that is no proper frame, record or start message; the message is one plain line. */
-final class BadInput extends IOException {
+public final class BadInput extends IOException {
     private static final long serialVersionUID = 1L;
 
-    BadInput(String what) {
+    public BadInput(String what) {
         super(what);
     }
 }
--- a/benchlink/src/main/java/gradereach/benchlink/Seat.java
+++ b/benchlink/src/main/java/gradereach/benchlink/Seat.java
@@ -135,21 +135,13 @@
         if (n == 0) {
             return null;
         }
-        double[] v = new double[8];
-        java.util.Arrays.fill(v, Double.NaN);
+        double[] values = new double[n];
         for (int i = 0; i < n; i++) {
-            double value = in.f32();
-            int at = i < columns.size() ? COLUMNS.indexOf(columns.get(i)) : -1;
-            if (at >= 0) {
-                v[at] = value;
-            }
+            values[i] = in.f32();
         }
-        return new Report(v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7]);
+        return StartMessage.report(columns, values);
     }
 
-    private static final List<String> COLUMNS =
-            List.of("rif", "q", "busy", "lat_ms", "rate", "fail_rate", "x0", "x1");
-
     private void roster(FrameReader in) throws BadInput {
         in.u64();
         int form = in.u8();
--- a/benchlink/src/main/java/gradereach/benchlink/StartMessage.java
+++ b/benchlink/src/main/java/gradereach/benchlink/StartMessage.java
@@ -10,30 +10,55 @@
 import gradereach.api.ModelGroup;
 import gradereach.api.Outlet;
 import gradereach.api.Repeat;
+import gradereach.api.Report;
 import gradereach.api.Router;
 import gradereach.api.Tier;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 
-/** The path=value lines that come with an instance's start, read into the trade's types. */
-final class StartMessage {
-    private final Map<String, String> lines = new HashMap<>();
-    final List<ModelGroup> groups = new ArrayList<>();
-    final List<String> reportColumns;
+/**
+ * The settings of an instance, path by path, read into the trade's types. The bench's wire sends them as path=value
+ * lines; a front end of the platform has them from its configuration, flattened to the same paths.
+ */
+public final class StartMessage {
+    private static final List<String> COLUMNS =
+            List.of("rif", "q", "busy", "lat_ms", "rate", "fail_rate", "x0", "x1");
+
+    private final Map<String, String> lines;
+    public final List<ModelGroup> groups = new ArrayList<>();
+    public final List<Customer> customers = new ArrayList<>();
+    public final List<String> reportColumns;
+    public final Tier tier;
+    public final ColdStartRule coldStart;
+    public final LoadRation ration;
+    public final Loading loading;
+    public final ForwardRules forwarding;
+    private final double surplusValue;
 
     StartMessage(byte[] content) throws BadInput {
+        this(lines(content));
+    }
+
+    private static Map<String, String> lines(byte[] content) {
+        Map<String, String> lines = new HashMap<>();
         for (String line : new String(content, StandardCharsets.UTF_8).split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) {
                 lines.put(line.substring(0, eq).trim(), line.substring(eq + 1).trim());
             }
         }
-        String columns = lines.getOrDefault("report.columns", "");
-        reportColumns = columns.isEmpty() ? List.of() : List.of(columns.split(","));
+        return lines;
+    }
+
+    /** @param lines value by path; lists of plain values joined by commas, lists of objects by .count, .0, .1 and on */
+    public StartMessage(Map<String, String> lines) throws BadInput {
+        this.lines = lines;
+        reportColumns = list("report.columns");
         int count = (int) need("grades.count");
         for (int i = 0; i < count; i++) {
             groups.add(group("grades." + i + "."));
@@ -41,6 +66,50 @@
         if (groups.isEmpty()) {
             throw new BadInput("start message: grades.count is 0");
         }
+        for (int i = 0; i < (int) number("customers.count", 0); i++) {
+            String at = "customers." + i + ".";
+            customers.add(new Customer(text(at + "name", ""), number(at + "portion", 0), number(at + "quota_rps", 0)));
+        }
+        List<Double> memory = new ArrayList<>();
+        for (String value : list("extra.memory_mb_by_kind")) {
+            memory.add(parse("extra.memory_mb_by_kind", value));
+        }
+        boolean asks = text("registry_mode", "push").equals("ask");
+        tier = new Tier((int) number("me", 0), (int) number("n_instances", 1), (int) number("az", 0),
+                flag("limits.peers", false), flag("limits.probes", false), asks,
+                number("penalties.probe", 0), number("penalties.cross_zone", 0), number("tick", 1));
+        coldStart = new ColdStartRule(number("rules.start_capacity", 1), number("rules.warm_within", 0),
+                number("rules.fall_multiple", 0), number("rules.fall", 0));
+        ration = new LoadRation(number("extra.free_loads", 0), number("extra.load_share", 0),
+                number("extra.load_span", 0));
+        loading = new Loading(flag("extra.orders", false), text("extra.when_absent", "load").equals("load"),
+                number("extra.stays_loaded", 0), number("extra.order_timeout", 0),
+                number("extra.price_of_idle", 0), memory);
+        forwarding = new ForwardRules((int) number("limits.attempts_cap", 1), flag("limits.second_copies", false),
+                flag("limits.cancel", false), number("limits.connect_timeout", 250),
+                number("rules.answer_slack", 0), number("limits.max_retry_after", 0),
+                flag("limits.retry_after", false));
+        surplusValue = number("over_share_worth", 1);
+    }
+
+    /** A load report from its values by name, null where none is known. */
+    public static Report report(Iterable<String> names, double[] values) {
+        double[] v = new double[8];
+        Arrays.fill(v, Double.NaN);
+        int i = 0;
+        for (String name : names) {
+            int at = i < values.length ? COLUMNS.indexOf(name) : -1;
+            if (at >= 0) {
+                v[at] = values[i];
+            }
+            i++;
+        }
+        return new Report(v[0], v[1], v[2], v[3], v[4], v[5], v[6], v[7]);
+    }
+
+    public Router router(Outlet out, long seed) {
+        return new Policy(out, new Random(seed), tier, groups, customers, surplusValue, coldStart, ration, loading,
+                forwarding);
     }
 
     private ModelGroup group(String at) throws BadInput {
@@ -60,54 +129,29 @@
                 number(at + "late_worth", 0), flag(at + "streaming", false));
     }
 
-    Router router(Outlet out, long seed) throws BadInput {
-        List<Customer> customers = new ArrayList<>();
-        for (int i = 0; i < (int) number("customers.count", 0); i++) {
-            String at = "customers." + i + ".";
-            customers.add(new Customer(text(at + "name", ""), number(at + "portion", 0), number(at + "quota_rps", 0)));
-        }
-        boolean asks = text("registry_mode", "push").equals("ask");
-        List<Double> memory = new ArrayList<>();
-        for (String value : text("extra.memory_mb_by_kind", "").split(",")) {
-            if (!value.isEmpty()) {
-                memory.add(parse("extra.memory_mb_by_kind", value));
-            }
-        }
-        return new Policy(out, new Random(seed),
-                new Tier((int) number("me", 0), (int) number("n_instances", 1), (int) number("az", 0),
-                        flag("limits.peers", false), flag("limits.probes", false), asks,
-                        number("penalties.probe", 0), number("penalties.cross_zone", 0), number("tick", 1)),
-                groups, customers, number("over_share_worth", 1),
-                new ColdStartRule(number("rules.start_capacity", 1), number("rules.warm_within", 0),
-                        number("rules.fall_multiple", 0), number("rules.fall", 0)),
-                new LoadRation(number("extra.free_loads", 0), number("extra.load_share", 0),
-                        number("extra.load_span", 0)),
-                new Loading(flag("extra.orders", false), text("extra.when_absent", "load").equals("load"),
-                        number("extra.stays_loaded", 0), number("extra.order_timeout", 0),
-                        number("extra.price_of_idle", 0), memory),
-                new ForwardRules((int) number("limits.attempts_cap", 1), flag("limits.second_copies", false),
-                        flag("limits.cancel", false), number("limits.connect_timeout", 250),
-                        number("rules.answer_slack", 0), number("limits.max_retry_after", 0),
-                        flag("limits.retry_after", false)));
+    /** A list of plain values; none where the path is missing. */
+    public List<String> list(String key) {
+        String joined = lines.getOrDefault(key, "");
+        return joined.isEmpty() ? List.of() : List.of(joined.split(","));
     }
 
-    private String text(String key, String otherwise) {
+    public String text(String key, String otherwise) {
         return lines.getOrDefault(key, otherwise);
     }
 
-    private boolean flag(String key, boolean otherwise) {
+    public boolean flag(String key, boolean otherwise) {
         String value = lines.get(key);
         return value == null ? otherwise : value.equals("true") || value.equals("1");
     }
 
-    private double need(String key) throws BadInput {
+    public double need(String key) throws BadInput {
         if (!lines.containsKey(key)) {
             throw new BadInput("start message: " + key + " is missing");
         }
         return number(key, 0);
     }
 
-    private double number(String key, double otherwise) throws BadInput {
+    public double number(String key, double otherwise) throws BadInput {
         String value = lines.get(key);
         return value == null || value.isEmpty() ? otherwise : parse(key, value);
     }
--- a/benchmarks/src/main/java/gradereach/benchmarks/DecisionPath.java
+++ b/benchmarks/src/main/java/gradereach/benchmarks/DecisionPath.java
@@ -123,6 +123,7 @@
                 List.of(group), List.of(), 1, cold, new LoadRation(0, 0, 0), loading, forwarding), links, timers,
                 chronicle, Clock.system(), new MessageMemory(100_000, 1 << 24, 1e9, 1000, 1), gradereach.desk.Ledger.NONE,
                 gradereach.desk.Claims.ALONE, new gradereach.inquiry.InquiryBook(0, 1, 1),
+                gradereach.message.Wording.WEBHOOK,
                 new Desk.Door(10_000, 100, 8), loading, forwarding, cold, List.of("yard"), counts);
     }
 
--- a/gateway/src/main/java/gradereach/desk/Arrival.java
+++ b/gateway/src/main/java/gradereach/desk/Arrival.java
@@ -7,10 +7,17 @@
  * @param digestHigh first half of the 128-bit digest of the signed body, which tells another body under one id
  * @param signedAt its signed timestamp, Unix seconds
  * @param budget the client's own time in milliseconds, 0 for none
+ * @param repeated whether its client says that it tries again
  * @param arrivedAt module time at which its first byte came: its client's clock runs from before that
  */
 public record Arrival(int customer, String id, long digestHigh, long digestLow, Catalogue.Entry model, Input input,
-        double budget, double arrivedAt, long signedAt, Signed signed, Asker asker) {
+        double budget, double arrivedAt, long signedAt, boolean repeated, Signed signed, Asker asker) {
+    /** Of a client that does not tell its repeats: the message's id does. */
+    public Arrival(int customer, String id, long digestHigh, long digestLow, Catalogue.Entry model, Input input,
+            double budget, double arrivedAt, long signedAt, Signed signed, Asker asker) {
+        this(customer, id, digestHigh, digestLow, model, input, budget, arrivedAt, signedAt, false, signed, asker);
+    }
+
     /** The message as it came, for handing it on; null for one that is no webhook. */
     public record Signed(String signature, byte[] body) { }
 }
--- a/gateway/src/main/java/gradereach/desk/Desk.java
+++ b/gateway/src/main/java/gradereach/desk/Desk.java
@@ -21,6 +21,7 @@
 import gradereach.ledger.LedgerBook;
 import gradereach.ledger.LedgerRecord;
 import gradereach.message.FinalAnswer;
+import gradereach.message.Wording;
 import gradereach.state.Executor;
 import gradereach.state.Forward;
 import gradereach.state.Inference;
@@ -76,6 +77,7 @@
     private final Ledger ledger;
     private final Claims claims;
     private final InquiryBook inquiries;
+    private final Wording words;
     private final Door door;
     private final Loading loading;
     private final ForwardRules forwarding;
@@ -143,7 +145,7 @@
 
     /** @param customers names by index */
     public Desk(String name, Function<Outlet, Router> routers, Links links, Timers timers, Chronicle chronicle,
-            WallClock wall, MessageMemory memory, Ledger ledger, Claims claims, InquiryBook inquiries, Door door, Loading loading, ForwardRules forwarding,
+            WallClock wall, MessageMemory memory, Ledger ledger, Claims claims, InquiryBook inquiries, Wording words, Door door, Loading loading, ForwardRules forwarding,
             ColdStartRule cold, List<String> customers, Counts counts) {
         this.name = name;
         this.routers = routers;
@@ -155,6 +157,7 @@
         this.ledger = ledger;
         this.claims = claims;
         this.inquiries = inquiries;
+        this.words = words;
         this.door = door;
         this.loading = loading;
         this.forwarding = forwarding;
@@ -259,7 +262,7 @@
                 continue; // no longer in this deployment, or too old to be played again
             }
             boolean unknown = m.state() == LedgerBook.State.MAY_HAVE_RUN;
-            FinalAnswer answer = unknown ? FinalAnswer.failed(m.id, 504, UNKNOWN, false) : m.answer();
+            FinalAnswer answer = unknown ? words.failed(m.id, 504, UNKNOWN, false) : m.answer();
             MessageMemory.Entry entry = memory.restore(customer, m.id, m.digestHigh(), m.digestLow(), group, until,
                     (long) (m.firstAt() / 1000) + AHEAD,
                     Double.isNaN(m.uncertainSince()) ? Double.NaN : wall.toModule(m.uncertainSince()), answer);
@@ -269,7 +272,7 @@
                 if (unknown && careful(group)) {
                     entry.askers.add(asker);
                 } else {
-                    asker.answer(FinalAnswer.shed(m.id, "this front end was restarted before it was answered", 0));
+                    asker.answer(words.shed(m.id, "this front end was restarted before it was answered", 0));
                 }
             } else if (m.owed()) {
                 owed.asker(customer, m.id, m.promisedAt(), m.tries()).answer(answer);
@@ -326,7 +329,7 @@
             arrival.asker().refuse(400, "too-old", "webhook-timestamp is older than what is remembered here");
         } else if (careful(arrival.model().group()) && arrival.signedAt() <= suspectUntil) {
             suspected.increment();
-            arrival.asker().answer(FinalAnswer.failed(arrival.id(), 504, LOST, true));
+            arrival.asker().answer(words.failed(arrival.id(), 504, LOST, true));
         } else if (claims != Claims.ALONE && careful(arrival.model().group())) {
             claim(arrival);
         } else {
@@ -338,13 +341,13 @@
     private void claim(Arrival arrival) {
         if (!ledger.usable()) {
             ledgerRefusals.increment();
-            arrival.asker().answer(FinalAnswer.failed(arrival.id(), 504, CANNOT_KNOW, true));
+            arrival.asker().answer(words.failed(arrival.id(), 504, CANNOT_KNOW, true));
             return;
         }
         MessageMemory.Entry entry = memory.open(arrival, now);
         if (entry == null) {
             memoryLimit.refuse();
-            arrival.asker().answer(FinalAnswer.failed(arrival.id(), 504, CANNOT_KNOW, true));
+            arrival.asker().answer(words.failed(arrival.id(), 504, CANNOT_KNOW, true));
             return;
         }
         entry.claiming = new ArrayList<>(List.of(arrival));
@@ -372,7 +375,7 @@
                 claims.handOn(arrival, verdict.holder());
             } else {
                 // Not shed: it may have run elsewhere.
-                arrival.asker().answer(FinalAnswer.failed(arrival.id(), 504, CANNOT_KNOW, true));
+                arrival.asker().answer(words.failed(arrival.id(), 504, CANNOT_KNOW, true));
             }
         }
     }
@@ -435,7 +438,7 @@
         if (careful && !ledger.usable()) {
             ledgerRefusals.increment();
             if (before != null && !Double.isNaN(before.uncertainSince)) {
-                arrival.asker().answer(FinalAnswer.failed(arrival.id(), 504, "its ledger cannot be written now", true));
+                arrival.asker().answer(words.failed(arrival.id(), 504, "its ledger cannot be written now", true));
             } else {
                 atTheDoor(arrival, "this front end's ledger cannot be written now");
             }
@@ -462,7 +465,7 @@
             leavesAt = Math.min(leavesAt, entry.uncertainSince + entry.group.dedupWindow());
         }
         Inference inf = new Inference(++inferences, arrival.model().group(), arrival.customer(), mdl,
-                arrival.arrivedAt(), leavesAt, Double.NaN, repeated);
+                arrival.arrivedAt(), leavesAt, Double.NaN, repeated || arrival.repeated());
         Life life = new Life(inf, arrival.model(), arrival.input(), entry, name,
                 customers.get(arrival.customer()) + "/" + arrival.id(), era, clientLeavesAt, wall.toUnix(now));
         entry.life = life;
@@ -477,7 +480,7 @@
     /** Before it is taken a message can always be shed: nothing of it has run. */
     private void atTheDoor(Arrival arrival, String why) {
         double pause = forwarding.clientsHearPause() ? forwarding.longestPause() : 0;
-        arrival.asker().answer(FinalAnswer.shed(arrival.id(), why, pause));
+        arrival.asker().answer(words.shed(arrival.id(), why, pause));
     }
 
     private Model model(Catalogue.Entry told) {
@@ -569,7 +572,7 @@
         if (outcome == Outcome.RETURNED && !inf.done) {
             inf.done = true;
             life.partsNotKept = output == null;
-            finish(life, FinalAnswer.returned(life.memory.id, life.model.name(),
+            finish(life, words.returned(life.memory.id, life.model.name(),
                     output == null ? notKept(life) : output, wall.instant(now)));
         } else if (flight.started && !inf.done) {
             streamsBroken.increment();
@@ -680,12 +683,12 @@
     public void roster(RosterForm form, List<RosterLine> lines) {
         if (form != RosterForm.CHANGES && form != RosterForm.FAILED) {
             Map<String, Place> missing = new LinkedHashMap<>(places);
-            lines.forEach(line -> missing.remove(line.address()));
+            lines.forEach(line -> missing.remove(line.instance()));
             missing.values().forEach(this::gone);
         }
         List<Listing> listings = new ArrayList<>(lines.size());
         for (RosterLine line : lines) {
-            Place place = place(line.address());
+            Place place = place(line.instance(), line.address());
             place.line = line;
             listings.add(listing(place));
             if (line.standing() == Standing.GONE) {
@@ -697,8 +700,7 @@
 
     private void gone(Place place) {
         if (place.line != null) {
-            place.line = new RosterLine(place.address, place.line.size(), place.line.startedAt(), Standing.GONE,
-                    place.line.location(), place.line.kind(), place.line.cell());
+            place.line = place.line.gone();
         }
         links.hangUp(place);
     }
@@ -781,7 +783,7 @@
             // This life never ran, but an earlier one of the same message may have: no word that a repeat is harmless.
             finish(life, unknown(life));
         } else {
-            finish(life, FinalAnswer.shed(life.memory.id, "no room for it within its time", pause));
+            finish(life, words.shed(life.memory.id, "no room for it within its time", pause));
         }
         drop(life);
     }
@@ -808,7 +810,7 @@
                 : last == Outcome.ERROR ? "the executor answered with an error; whether it took effect is unknown"
                 : last == Outcome.RESET ? "the executor's connection broke; whether it took effect is unknown"
                 : "no answer within its time; whether it took effect is unknown";
-        return FinalAnswer.failed(entry.id, answered ? 502 : 504, why, harmless);
+        return words.failed(entry.id, answered ? 502 : 504, why, harmless);
     }
 
     private void noteUncertain(Life life) {
@@ -983,7 +985,7 @@
                 }
             }
             if (harmless && Double.isNaN(life.memory.uncertainSince)) {
-                finish(life, FinalAnswer.shed(life.memory.id, "this front end starts its decisions anew",
+                finish(life, words.shed(life.memory.id, "this front end starts its decisions anew",
                         forwarding.clientsHearPause() ? forwarding.longestPause() : 0));
             } else {
                 finish(life, unknown(life));
@@ -1066,7 +1068,7 @@
     private void inquireDue() {
         inquiringAt = Double.POSITIVE_INFINITY;
         for (InquiryBook.Question question : inquiries.due(now)) {
-            links.inquire(place(question.executor), question.forward, (what, upSince, output) -> {
+            links.inquire(place(question.executor, question.executor), question.forward, (what, upSince, output) -> {
                 Unknown unknown = (Unknown) question.about;
                 InquiryBook.Known known = inquiries.told(question, what, upSince, now);
                 if (known == InquiryBook.Known.RAN) {
@@ -1092,7 +1094,7 @@
             return; // a second life within its window has begun, and ends with what it learns itself
         }
         FinalAnswer learnt = output == null ? null
-                : FinalAnswer.returned(entry.id, unknown.modelName, output, wall.instant(now));
+                : words.returned(entry.id, unknown.modelName, output, wall.instant(now));
         String customer = customers.get(entry.customer);
         if (learnt != null || neverRan) {
             (learnt != null ? learntRan : learntNotRun).increment();
@@ -1103,15 +1105,15 @@
             neverKnown.increment();
         }
         FinalAnswer told = learnt != null ? learnt : neverRan
-                ? FinalAnswer.shed(entry.id, "this front end was restarted before it ran", 0) : entry.answer;
+                ? words.shed(entry.id, "this front end was restarted before it ran", 0) : entry.answer;
         List<Asker> askers = List.copyOf(entry.askers);
         entry.askers.clear();
         askers.forEach(asker -> asker.answer(told));
     }
 
-    private Place place(String address) {
-        return places.computeIfAbsent(address, a -> {
-            Place made = new Place(a);
+    private Place place(String instance, String address) {
+        return places.computeIfAbsent(instance, i -> {
+            Place made = new Place(i, address);
             made.executor = new Executor(made.id);
             placesById.put(made.id, made);
             return made;
--- a/gateway/src/main/java/gradereach/desk/Flight.java
+++ b/gateway/src/main/java/gradereach/desk/Flight.java
@@ -1,6 +1,7 @@
 package gradereach.desk;
 
 import gradereach.state.Forward;
+import java.util.List;
 
 /** One forward on its way: the module's object and what the sockets need. */
 public final class Flight {
@@ -31,6 +32,25 @@
         return life.input;
     }
 
+    /** The message's id, as its client gave it. */
+    public String id() {
+        return life.memory.id;
+    }
+
+    public String group() {
+        return life.inference.group.name();
+    }
+
+    /** When it is given up, module time. */
+    public double stopAt() {
+        return stopAt;
+    }
+
+    /** The forwards of the same inference, this one included. */
+    public List<Flight> siblings() {
+        return life.flights;
+    }
+
     public String model() {
         return life.model.name();
     }
--- a/gateway/src/main/java/gradereach/desk/Place.java
+++ b/gateway/src/main/java/gradereach/desk/Place.java
@@ -5,6 +5,8 @@
 
 /** Where an executor is met, and its present object in the module. Of the deciding thread, but for {@code link}. */
 public final class Place {
+    /** By which the roster knows it: its address may become another's once it has gone. */
+    public final String instance;
     /** {@code host:port}. */
     public final String address;
     public final long id;
@@ -17,9 +19,10 @@
     /** The executor link's own; the deciding thread only carries it. */
     public volatile Object link;
 
-    Place(String address) {
+    Place(String instance, String address) {
+        this.instance = instance;
         this.address = address;
-        this.id = idOf(address);
+        this.id = idOf(instance);
     }
 
     /** The roster's word for what it is, 0 where untold. */
@@ -31,7 +34,7 @@
         return line == null || line.standing() == Standing.GONE;
     }
 
-    private static long idOf(String address) {
-        return Catalogue.hash(address);
+    private static long idOf(String instance) {
+        return Catalogue.hash(instance);
     }
 }
--- a/gateway/src/main/java/gradereach/desk/RosterLine.java
+++ b/gateway/src/main/java/gradereach/desk/RosterLine.java
@@ -5,9 +5,20 @@
 /**
  * One executor as the roster tells of it.
  *
+ * @param instance by which it is known; the address, where a roster has no other name for it
  * @param address {@code host:port}
  * @param startedAt Unix time in milliseconds, 0 for long ago
  * @param location index among the deployment's locations, -1 for unknown
  */
-public record RosterLine(String address, double size, double startedAt, Standing standing, int location, int kind,
-        int cell) { }
+public record RosterLine(String instance, String address, double size, double startedAt, Standing standing,
+        int location, int kind, int cell) {
+    public RosterLine(String address, double size, double startedAt, Standing standing, int location, int kind,
+            int cell) {
+        this(address, address, size, startedAt, standing, location, kind, cell);
+    }
+
+    /** The same, gone. */
+    public RosterLine gone() {
+        return new RosterLine(instance, address, size, startedAt, Standing.GONE, location, kind, cell);
+    }
+}
--- a/gateway/src/main/java/gradereach/roster/RosterBook.java
+++ b/gateway/src/main/java/gradereach/roster/RosterBook.java
@@ -97,8 +97,7 @@
         }
         for (RosterLine line : told.values()) {
             if (!wanted.containsKey(line.address())) {
-                changed.add(new RosterLine(line.address(), line.size(), line.startedAt(), Standing.GONE,
-                        line.location(), line.kind(), line.cell()));
+                changed.add(line.gone());
             }
         }
         told.clear();
--- a/gateway/src/main/java/gradereach/serve/Gateway.java
+++ b/gateway/src/main/java/gradereach/serve/Gateway.java
@@ -31,6 +31,7 @@
 import gradereach.loop.HaltWatch;
 import gradereach.measures.Service;
 import gradereach.members.Membership;
+import gradereach.message.Wording;
 import gradereach.plan.Deployment;
 import gradereach.remotewrite.Pusher;
 import gradereach.roster.EndpointSlices;
@@ -122,7 +123,7 @@
                             clock::now, clock, this::toDesk)),
                     timers, new Measured(new LifeLog(names), service, plan.groups(), names, plan.surplusValue()), clock, memory,
                     ledger == null ? Ledger.NONE : ledger, peerClaims(timers),
-                    new InquiryBook(plan.executors("outcomes_kept_ms", 0), 32, (int) plan.limit("in_question", 10_000)),
+                    new InquiryBook(plan.executors("outcomes_kept_ms", 0), 32, (int) plan.limit("in_question", 10_000)), Wording.WEBHOOK,
                     new Desk.Door((int) plan.limit("held", 20_000), (int) plan.limit("models", 200_000),
                             (int) plan.limit("waiting_for_one", 8)),
                     plan.loading(), plan.forwards(), plan.coldStart(), names, counts);
--- a/gateway/src/test/java/gradereach/desk/Stage.java
+++ b/gateway/src/test/java/gradereach/desk/Stage.java
@@ -19,6 +19,7 @@
 import gradereach.inquiry.InquiryBook;
 import gradereach.flow.PartFlow;
 import gradereach.message.FinalAnswer;
+import gradereach.message.Wording;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -117,7 +118,7 @@
         ColdStartRule cold = new ColdStartRule(0.2, 5000, 3, 1000);
         desk = new Desk("fe", outlet -> around.apply(policy(outlet, new Random(chance.nextLong()), loading, forwarding,
                 cold)), this, this, this, this, memory, ledger, claims,
-                new InquiryBook(30_000, 4, 100), new Desk.Door(held, 50, 3), loading, forwarding, cold,
+                new InquiryBook(30_000, 4, 100), Wording.WEBHOOK, new Desk.Door(held, 50, 3), loading, forwarding, cold,
                 List.of("yard", "shop"), counts);
     }
 
