Module: a fresh front end tries its part of 16 forwards an executor before answers tell

Ruled out: lag of the I/O thread (62 ms in the first second, 1 to 3 ms after, by its own count), loads (104 ms each, 3 under way of 8), the change log (followed at once after each SIGHUP). At fault: Policy.Health.soFar: the fleet's in-flight limit began at 8 whatever the fleet's size, and grows by answers.

--- a/core/src/main/java/gradereach/Policy.java
+++ b/core/src/main/java/gradereach/Policy.java
@@ -102,6 +102,9 @@
             ex.location = line.location();
             ex.cell = line.cell();
         }
+        if (Double.isNaN(health.fleet.limit)) {
+            health.fleet.limit = Math.max(Health.FIRST_LIMIT, ALL_TRY * executors.size() * share.part);
+        }
         alarms.set(now, this);
     }
 
@@ -375,6 +378,8 @@
     }
 
     private static final double ALL_BEAR = 4; // so many an executor, from all front ends, are no crowd
+    // So many are tried before answers tell: each start meets models to load, and a low guess holds what could run.
+    private static final double ALL_TRY = 16;
 
     /**
      * Busy counts what is there and what was there lately, or else all idle instances would tie, be used in
--- a/core/src/test/java/gradereach/PolicyTest.java
+++ b/core/src/test/java/gradereach/PolicyTest.java
@@ -52,6 +52,24 @@
         assertEquals(1, fe.count("forward"));
     }
 
+    /** Before any answer tells, a fresh front end tries its part of 16 an executor: loads and asks come first as it is. */
+    @ParameterizedTest
+    @CsvSource({"3, 3, 16", "3, 6, 8", "6, 3, 32"})
+    void aFreshFrontEndTriesItsPartOfTheFleet(int executors, int frontEnds, int forwards) {
+        mdl.lanes = 8;
+        FrontEnd fe = new FrontEnd();
+        fe.frontEnds = frontEnds;
+        fe.start(1, executors, 0);
+        Model[] many = new Model[60];
+        java.util.Arrays.fill(many, mdl);
+        fe.take(2000, FrontEnd.RETRIABLE, many);
+        int[] one = new int[executors];
+        java.util.Arrays.fill(one, 1);
+        fe.standing(2001, mdl, one);
+        fe.pass(2010);
+        assertEquals(forwards, fe.forwards.size());
+    }
+
     @Test
     void theBusiestInstanceWithAFreeLaneIsTaken() {
         mdl.lanes = 2;
