Executors that have gone and models nobody asks for are dropped, in the module too

Gone executors go once nothing of ours is out there and, at the desk, once rule 4's window is over; models are looked at in turn and let go by the module (Policy.letGo).

--- a/core/src/main/java/gradereach/Policy.java
+++ b/core/src/main/java/gradereach/Policy.java
@@ -27,6 +27,8 @@
     private final List<Pace> groupPaces = new ArrayList<>();
 
     private final Set<Executor> executors = new LinkedHashSet<>();
+    private final Set<Executor> leaving = new LinkedHashSet<>();
+    private int fleetChanges;
     private final Set<Model> touched = new LinkedHashSet<>();
     private final Set<Model> waiting = new LinkedHashSet<>();
     private final Alarms alarms = new Alarms();
@@ -88,11 +90,17 @@
             for (Executor ex : missing) {
                 ex.standing = Standing.GONE;
                 ex.forgetCopies(now, touched);
+                leaving.add(ex);
             }
         }
         for (Listing line : listings) {
             Executor ex = line.executor();
-            executors.add(ex);
+            fleetChanges += executors.add(ex) ? 1 : 0;
+            if (line.standing() == Standing.GONE) {
+                leaving.add(ex);
+            } else {
+                leaving.remove(ex);
+            }
             if (line.standing() != Standing.READY || line.startedAt() != ex.startedAt) {
                 ex.forgetCopies(now, touched);
             }
@@ -102,7 +110,7 @@
             ex.location = line.location();
             ex.cell = line.cell();
         }
-        if (Double.isNaN(health.fleet.limit)) {
+        if (Double.isNaN(health.fleet.limit) && !executors.isEmpty()) {
             health.fleet.limit = Math.max(Health.FIRST_LIMIT, ALL_TRY * executors.size() * share.part);
         }
         alarms.set(now, this);
@@ -249,7 +257,31 @@
 
     // ---- what is wanted --------------------------------------------------------------------------------
 
+    /** Lets go of executors that have gone, once nothing of ours is out there. */
+    private void forgetGone() {
+        for (Executor ex : leaving.isEmpty() ? List.<Executor>of() : List.copyOf(leaving)) {
+            if (ex.quiet()) {
+                leaving.remove(ex);
+                executors.remove(ex);
+                ex.forgotten();
+                fleetChanges++;
+            }
+        }
+    }
+
+    @Override public boolean letGo(Model mdl) {
+        boolean lets = mdl.quiet() && mdl.lately.value(now, LATELY) < FORGOTTEN;
+        if (lets) {
+            mdl.copies.forEach(c -> c.executor.copies.remove(c));
+            touched.remove(mdl);
+        }
+        return lets;
+    }
+
+    private static final double FORGOTTEN = 0.001; // seven times LATELY after its last inference
+
     @Override public void settle() {
+        forgetGone();
         for (Object whom = alarms.due(now); whom != null; whom = alarms.due(now)) {
             if (whom instanceof Inference inf) {
                 reviewInference(inf);
@@ -521,9 +553,10 @@
     private static final int ASK_DEPTH = 4;
     private static final double ASK_PATIENCE = 15; // a few network trips; one that stalls is not waited for
 
-    /** The executors in a model's rendezvous order; sorted anew only where the roster has new names. */
+    /** The executors in a model's rendezvous order; sorted anew where the fleet has changed. */
     private List<Executor> nearest(Model mdl) {
-        if (mdl.homes.size() < executors.size()) {
+        if (mdl.homesOf != fleetChanges) {
+            mdl.homesOf = fleetChanges;
             mdl.homes.clear();
             mdl.homes.addAll(executors);
             mdl.homes.sort(Comparator.comparingLong(ex -> rendezvous(mdl, ex)));
--- a/core/src/main/java/gradereach/api/Router.java
+++ b/core/src/main/java/gradereach/api/Router.java
@@ -39,6 +39,9 @@
     /** The part of what all front ends share that is this one's from now on, 0 to 1; one of their number until it is told. */
     void share(double part);
 
+    /** Whoever keeps models by name would forget this one: true where nothing is out, stands or waits for it any more. */
+    boolean letGo(Model mdl);
+
     /** All events of this moment are in: decide and act. */
     void settle();
 }
--- a/core/src/main/java/gradereach/state/Executor.java
+++ b/core/src/main/java/gradereach/state/Executor.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Set;
 
-/** An executor that the roster has named: kept for the life of the instance. */
+/** An executor that the roster has named: kept until it has gone and nothing of ours is out there. */
 public final class Executor {
     /** Its address, for hashing and the door only. */
     public final long id;
@@ -54,6 +54,22 @@
         }
     }
 
+    /** Nothing of ours is out there. */
+    public boolean quiet() {
+        for (Copies c : copies) {
+            if (c.pending || c.inFlight > 0) {
+                return false;
+            }
+        }
+        return out.isEmpty() && !probing;
+    }
+
+    /** It has gone for good: no model deals with it any more. */
+    public void forgotten() {
+        copies.forEach(c -> c.model.copies.remove(c));
+        copies.clear();
+    }
+
     /** It went away or started anew: nothing stands there. Adds the models concerned to {@code concerned}. */
     public void forgetCopies(double now, Set<Model> concerned) {
         for (Copies c : copies) {
--- a/core/src/main/java/gradereach/state/Model.java
+++ b/core/src/main/java/gradereach/state/Model.java
@@ -20,6 +20,8 @@
     public final TreeSet<Inference> held = new TreeSet<>(Inference.QUEUE);
     /** The executors that the roster named, nearest first. */
     public final List<Executor> homes = new ArrayList<>();
+    /** Of which fleet, by the module's count of its changes. */
+    public int homesOf;
     /** With the executors dealt with so far, in the order in which that began. */
     public final List<Copies> copies = new ArrayList<>();
     /** Inferences taken: in all, and lately. */
@@ -49,6 +51,11 @@
         return c;
     }
 
+    /** Nothing is out, ordered, asked or held, and nothing is believed to stand. */
+    public boolean quiet() {
+        return held.isEmpty() && inFlight == 0 && holdsOut == 0 && asksOut == 0 && !anyWarm();
+    }
+
     public boolean anyWarm() {
         for (Copies c : copies) {
             if (c.warm > 0) {
--- a/core/src/test/java/gradereach/FrontEnd.java
+++ b/core/src/test/java/gradereach/FrontEnd.java
@@ -104,6 +104,12 @@
         at(time, () -> policy.share(part));
     }
 
+    boolean letGo(double time, Model mdl) {
+        boolean[] lets = new boolean[1];
+        at(time, () -> lets[0] = policy.letGo(mdl));
+        return lets[0];
+    }
+
     void left(double time, Inference inf) {
         at(time, () -> policy.left(inf));
     }
--- a/core/src/test/java/gradereach/PolicyTest.java
+++ b/core/src/test/java/gradereach/PolicyTest.java
@@ -70,6 +70,31 @@
         assertEquals(forwards, fe.forwards.size());
     }
 
+    @Test
+    void whatHasGoneIsForgottenOnceNothingIsOutThere() {
+        FrontEnd fe = warm(1, 1, 1);
+        Inference inf = fe.take(2100, FrontEnd.RETRIABLE, mdl);
+        Executor gone = inf.forwards.get(0).executor;
+        fe.roster(2101, gone, Standing.GONE);
+        assertTrue(mdl.copies.stream().anyMatch(c -> c.executor == gone));
+        fe.end(2110, inf.forwards.get(0), Outcome.RESET);
+        fe.pass(2115);
+        assertFalse(mdl.copies.stream().anyMatch(c -> c.executor == gone));
+        assertTrue(gone.copies.isEmpty());
+        fe.roster(2200, gone, Standing.READY);
+        fe.take(2201, FrontEnd.RETRIABLE, new Model(8));
+        assertTrue(fe.since(0).contains("ask " + gone.id));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5000, false", "15000, false", "40000, true"})
+    void aModelIsLetGoOnlyWhenNothingOfItIsLeft(double later, boolean lets) {
+        FrontEnd fe = warm(1, 0);
+        fe.pass(later);
+        assertEquals(lets, fe.letGo(later, mdl));
+        assertEquals(!lets, fe.executors.get(0).copies.stream().anyMatch(c -> c.model == mdl));
+    }
+
     @Test
     void theBusiestInstanceWithAFreeLaneIsTaken() {
         mdl.lanes = 2;
--- a/gateway/src/main/java/gradereach/desk/Desk.java
+++ b/gateway/src/main/java/gradereach/desk/Desk.java
@@ -130,6 +130,7 @@
     private final Map<Long, Life> lives = new LinkedHashMap<>();
     private final Map<String, Model> models = new HashMap<>();
     private final Map<Model, String> names = new HashMap<>();
+    private final ArrayDeque<Model> modelsInTurn = new ArrayDeque<>();
     private final Map<String, Place> places = new LinkedHashMap<>();
     private final Map<Long, Place> placesById = new HashMap<>();
     /** Ends that came about while the module was acting: told to it at the next moment, never within one. */
@@ -198,6 +199,7 @@
         streamsStarted = counts.counter("answers_started");
         streamsBroken = counts.counter("answers_broken_after_their_start");
         router = routers.apply(this);
+        timers.set(0, (Runnable) this::forgetModels); // at the first moment, and from then on
     }
 
     // ---- a moment ----------------------------------------------------------------------------------------
@@ -490,6 +492,7 @@
             mdl.lanes = Math.max(1, told.lanes());
             mdl.loadTime = told.loadTime();
             names.put(mdl, told.name());
+            modelsInTurn.add(mdl);
             return mdl;
         });
     }
@@ -703,6 +706,13 @@
             place.line = place.line.gone();
         }
         links.hangUp(place);
+        // Not before what was sent to it has left the window of rule 4: it may be listed again, cold as it was.
+        timers.set(now + cold.fallTime() + 1, (Runnable) () -> {
+            if (place.gone()) {
+                places.remove(place.instance, place);
+                placesById.remove(place.id, place);
+            }
+        });
     }
 
     private Listing listing(Place place) {
@@ -712,6 +722,26 @@
                 line.cell());
     }
 
+    /** Models that were not asked for in a while are forgotten: some are looked at each time, in turn. */
+    private void forgetModels() {
+        timers.set(now + MODELS_EVERY, (Runnable) this::forgetModels);
+        for (int n = Math.min(MODELS_AT_ONCE, modelsInTurn.size()); n > 0; n--) {
+            Model mdl = modelsInTurn.poll();
+            boolean[] forgotten = {!names.containsKey(mdl)};
+            if (!forgotten[0]) {
+                toModule("letGo", () -> forgotten[0] = router.letGo(mdl));
+            }
+            if (!forgotten[0]) {
+                modelsInTurn.add(mdl);
+            } else if (names.containsKey(mdl)) {
+                models.remove(names.remove(mdl));
+            }
+        }
+    }
+
+    private static final double MODELS_EVERY = 1000;
+    private static final int MODELS_AT_ONCE = 500; // some 50 microseconds of work
+
     // ---- the module's actions ----------------------------------------------------------------------------
 
     @Override
@@ -994,6 +1024,7 @@
         lives.values().removeIf(Life::over);
         models.clear();
         names.clear();
+        modelsInTurn.clear();
         router = routers.apply(this);
         router.moment(now);
         if (!Double.isNaN(share)) {
--- a/gateway/src/test/java/gradereach/desk/DeskTest.java
+++ b/gateway/src/test/java/gradereach/desk/DeskTest.java
@@ -52,6 +52,22 @@
                 });
     }
 
+    @Test
+    void whatHasGoneAndWhatNobodyAsksForIsDropped() {
+        stage.ask("a", Stage.RETRIABLE, 1);
+        stage.end(stage.out(), Outcome.RETURNED);
+        assertEquals(1, stage.counts.limit("models_known", 0).present());
+        stage.roster(RosterForm.CHANGES, Stage.line(1, Standing.GONE, 0));
+        assertEquals(2, stage.desk.places().size());
+        stage.pass(stage.now + 2000);
+        assertEquals(1, stage.desk.places().size());
+        stage.pass(stage.now + 60_000);
+        stage.at(stage.now, () -> { });
+        assertEquals(0, stage.counts.limit("models_known", 0).present());
+        stage.roster(RosterForm.CHANGES, Stage.line(1, Standing.READY, 0));
+        assertEquals(2, stage.desk.places().size());
+    }
+
     @Test
     void theSameMessageIsOneInferenceWithOneAnswer() {
         Client first = stage.ask("a", Stage.NON_RETRIABLE, 1);
