--- a/cli/src/main/java/gradereach/cli/Main.java
+++ b/cli/src/main/java/gradereach/cli/Main.java
@@ -10,6 +10,7 @@
 import gradereach.rehearsal.AlertWatch;
 import gradereach.rehearsal.Auditor;
 import gradereach.rehearsal.Rehearsal;
+import gradereach.platform.serve.PlatformProcess;
 import gradereach.serve.FrontEndProcess;
 import gradereach.standins.StandInFleet;
 import gradereach.webhook.KeyRing;
@@ -71,10 +72,13 @@
         }
     }
 
-    @Command(name = "serve", mixinStandardHelpOptions = true, description = "Run a front end until SIGTERM.")
+    @Command(name = "serve", mixinStandardHelpOptions = true, description = "Run a front end until SIGTERM.%nWithout FILE, "
+            + "EDGE_CONFIG names a platform's configuration (docs/platform.md).")
     static final class Serve implements Callable<Integer> {
-        @Parameters(paramLabel = "FILE", description = "deployment file (docs/deployment.md)")
+        @Parameters(paramLabel = "FILE", arity = "0..1", description = "deployment file (docs/deployment.md)")
         private Path file;
+        @Spec
+        private CommandSpec spec;
         @Option(names = "--log", defaultValue = "json", description = "json or plain, on standard error (${DEFAULT-VALUE})")
         private LogForm log;
         @Option(names = "--log-level", defaultValue = "info", description = "error, warn, info, debug (${DEFAULT-VALUE})")
@@ -84,6 +88,13 @@
 
         @Override
         public Integer call() throws InterruptedException {
+            if (file == null) {
+                if (System.getenv("EDGE_CONFIG") == null) {
+                    throw new CommandLine.ParameterException(spec.commandLine(),
+                            "serve needs a deployment file, or EDGE_CONFIG for a platform's configuration");
+                }
+                return PlatformProcess.run(System.getenv(), System.out);
+            }
             Logs.to(log == LogForm.json, level, !noLives);
             return FrontEndProcess.run(file, gradereach.serve.Between.NOTHING, System.out, System.err);
         }
--- a/cli/src/test/java/gradereach/cli/ArchitectureTest.java
+++ b/cli/src/test/java/gradereach/cli/ArchitectureTest.java
@@ -35,7 +35,7 @@
 
     @ArchTest
     static final ArchRule decidersBesideIoKnowNone = noClasses().that()
-            .haveNameMatching(".*\\.(PoolBook|Proofs|LoadReport|RosterBook|DeliveryBook|KeeperBook|ClaimRounds|Members|SendQueue|Shards|ShardPace|Turns)").should()
+            .haveNameMatching(".*\\.(PoolBook|ChangelogBook|Frame|FrameProofs|LoadWords|Proofs|LoadReport|RosterBook|DeliveryBook|KeeperBook|ClaimRounds|Members|SendQueue|Shards|ShardPace|Turns)").should()
             .dependOnClassesThat().resideInAnyPackage("io.netty.channel..", "java.net..", "java.nio.file..", "java.nio.channels..");
 
     @ArchTest
@@ -43,6 +43,11 @@
             .dependOnClassesThat().resideInAnyPackage("gradereach.front..", "gradereach.link..", "gradereach.loop..",
             "gradereach.serve..", "gradereach.plan..", "gradereach.http2..", "gradereach.delivery..");
 
+    @ArchTest
+    static final ArchRule thePlatformsPartsPointInward = noClasses().that().resideInAnyPackage("gradereach.platform.plan..",
+            "gradereach.platform.link..", "gradereach.platform.front..", "gradereach.platform.changelog..").should()
+            .dependOnClassesThat().resideInAnyPackage("gradereach.platform.serve..", "gradereach.serve..", "gradereach.http2..");
+
     @ArchTest
     static final ArchRule theProductKnowsNoStandIn = noClasses().that().resideOutsideOfPackages(
             "gradereach.standins..", "gradereach.rehearsal..", "gradereach.measure..", "gradereach.cli..").should().dependOnClassesThat()
--- a/cli/src/test/java/gradereach/cli/MainTest.java
+++ b/cli/src/test/java/gradereach/cli/MainTest.java
@@ -20,7 +20,7 @@
 
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
-        "'' | 2 | subcommand is missing", "version | 0 | gradereach", "nonsense | 2 | Unmatched", "serve | 2 | FILE",
+        "'' | 2 | subcommand is missing", "version | 0 | gradereach", "nonsense | 2 | Unmatched", "serve | 2 | EDGE_CONFIG",
         "check FOLDER/none.json | 2 | cannot be read", "check FOLDER/bad.json | 2 | /: required property 'name'",
         "serve FOLDER/bad.json | 2 | /: required property 'name'", "rehearse none | 2 | none: no shipped day",
         "keys make FOLDER/k | 0 | FOLDER/k", "keys make FOLDER/old | 1 | is there already",
