--- a/benchlink/src/main/java/gradereach/benchlink/StartMessage.java
+++ b/benchlink/src/main/java/gradereach/benchlink/StartMessage.java
@@ -144,7 +144,7 @@
         return value == null ? otherwise : value.equals("true") || value.equals("1");
     }
 
-    public double need(String key) throws BadInput {
+    private double need(String key) throws BadInput {
         if (!lines.containsKey(key)) {
             throw new BadInput("start message: " + key + " is missing");
         }
--- a/core/src/main/java/gradereach/Policy.java
+++ b/core/src/main/java/gradereach/Policy.java
@@ -410,7 +410,7 @@
     }
 
     private static final double ALL_BEAR = 4; // so many an executor, from all front ends, are no crowd
-    // So many are tried before answers tell: each start meets models to load, and a low guess holds what could run.
+    // So many are tried before answers tell: a start meets models to load, a low guess holds what could run.
     private static final double ALL_TRY = 16;
 
     /**
--- a/gateway/src/main/java/gradereach/desk/Place.java
+++ b/gateway/src/main/java/gradereach/desk/Place.java
@@ -19,7 +19,7 @@
     /** The executor link's own; the deciding thread only carries it. */
     public volatile Object link;
 
-    Place(String instance, String address) {
+    public Place(String instance, String address) {
         this.instance = instance;
         this.address = address;
         this.id = idOf(instance);
