--- a/gateway/src/main/java/gradereach/desk/Flight.java
+++ b/gateway/src/main/java/gradereach/desk/Flight.java
@@ -41,6 +41,11 @@
         return life.inference.group.name();
     }
 
+    /** Whether anybody waits for its end: not after its client has left, nor once it is answered or given up. */
+    public boolean wanted() {
+        return !ended && !givenUp && !life.inference.done;
+    }
+
     /** When it is given up, module time. */
     public double stopAt() {
         return stopAt;
