Cold executors: parts of all front ends add up, also when the fleet shrinks or restarts

N is multiple x present share x span over the mean work, of one core; N + 2 sqrt N + 2 the bound. Lines at fault, all in Rules.coldRoom: 'usual' was divided by the executors there are now, so a fleet that shrinks raised every part (29 sent where N is 18, found first); max(part, usual) added up to more than one where some front ends see several times the mean; a restarted instance spent again what the one before had just spent. Now what it sent is divided as it is sent, what it is used to beyond its part counts half, and in its first span after its own start a part counts half. Questions and looks: eight an inference whatever they cost. What eight cost at 0.007 is spent now, by the settings' price.

--- a/core/src/main/java/gradereach/Policy.java
+++ b/core/src/main/java/gradereach/Policy.java
@@ -33,7 +33,8 @@
     private final Set<Model> waiting = new LinkedHashSet<>();
     private final Alarms alarms = new Alarms();
     private double wakeAt = Double.POSITIVE_INFINITY;
-    private int holdsOut, credit = 10 * PAID;
+    private int holdsOut;
+    private double credit;
     private boolean following;
     private double pressed, pressedAt = Double.NEGATIVE_INFINITY;
     private double meanUse, reports;
@@ -57,6 +58,7 @@
         share = new Share(1d / Math.max(1, tier.frontEnds()));
         rules = new Rules(coldStarts, ration, share, forwarding, new Recent(), new Recent(), new Fading(),
                 executors, chance);
+        credit = 10 * paid();
         shares = new Shares(surplusValue, customers.stream().mapToDouble(Customer::quotaPerSecond)
                 .toArray(), share, customers.stream().map(c -> new Fading()).toList());
         for (ModelGroup group : groups) {
@@ -73,6 +75,7 @@
         now = at;
         // Guards against a halt of this front end itself: what it finds late is no slow executor.
         health.resumedAt = at - wakeAt > HALT ? at : health.resumedAt;
+        share.since = Double.isNaN(share.since) ? at : share.since;
     }
 
     private static final double HALT = 50; // a few batches: less is the grid of the clock
@@ -123,7 +126,7 @@
             mdl.groupPace = groupPaces.get(groups.indexOf(inf.group));
         }
         rules.taken().add(1, now);
-        credit = Math.min(10 * PAID, credit + PAID);
+        credit = Math.min(10 * paid(), credit + paid());
         inf.surplus = shares.surplus(inf.customer, now);
         mdl.count++;
         mdl.lately.add(1, now, LATELY);
@@ -466,7 +469,7 @@
 
     /** Probes it where its report is old; whether the answer is worth a wait. */
     private boolean look(Executor ex) {
-        if (!ex.probing && now - ex.reportAt > FRESH && credit > 0 && wantedProbed.add(ex)) {
+        if (!ex.probing && now - ex.reportAt > FRESH && credit >= 1 && wantedProbed.add(ex)) {
             credit--;
         }
         return awaited(ex);
@@ -483,9 +486,13 @@
 
     /**
      * Looks and questions an inference taken pays for, ten's at once; three are used when all is well. Guards
-     * against a fleet that is asked more the worse it is; harms a front end that restarts into many models.
+     * against a fleet that is asked more the worse it is; harms a front end that restarts into many models. Where
+     * each costs much, fewer: an order at the first in rendezvous order, answered at once where a copy stands, asks too.
      */
-    private static final int PAID = 8;
+    private double paid() { return Math.min(PAID, PAID_PRICE / tier.probePrice()); }
+
+    private static final double PAID = 8;
+    private static final double PAID_PRICE = 0.056; // of an inference's points: what eight cost where one costs 0.007
     private static final double FRESH = 300; // reports are refreshed a few times a second
 
     private static final double ORDER_ARRIVES = 20; // a forward may overtake an order: a few network trips
@@ -532,7 +539,7 @@
             Copies c = rules.mayOrderOn(near.get(i)) ? mdl.on(near.get(i)) : null;
             if (c != null && c.warm == 0) {
                 depth++;
-                if (!c.pending && now - c.heardAt > ASK_EVERY && credit > 0) {
+                if (!c.pending && now - c.heardAt > ASK_EVERY && credit >= 1) {
                     credit--;
                     mdl.askedAt = now;
                     want(c, 0);
@@ -809,10 +816,13 @@
                 return true;
             }
             // Over a time longer than a burst, which must not pass for what executors can take.
-            double usual = sent.value(now, cold.warmWithin()) / cold.warmWithin() / executors.size();
+            double usual = sent.value(now, cold.warmWithin()) / cold.warmWithin();
             // Three quarters of the bearable: the rest is for inferences that turn out longer than the mean.
             double bears = 0.75 * cold.fallMultiple() * cold.fallTime() * share;
-            double part = bears * Math.max(ours.part, usual);
+            // What it is used to beyond its part counts half: the others' parts stand, however little they send.
+            double part = bears * (ours.part + Math.max(0, usual - ours.part) / 2);
+            // The one before a restart may have spent this part just now: half of it, until that no longer counts.
+            part *= now - ours.since < cold.fallTime() ? 0.5 : 1;
             if (now >= ex.drawnUntil) {
                 ex.drawnUntil = now + cold.fallTime();
                 ex.draw = chance.nextDouble();
@@ -821,7 +831,8 @@
         }
 
         void forwarded(Executor ex, double work, double now) {
-            sent.add(work, now, cold.warmWithin());
+            // For each of those there were: were it divided later, a fleet that shrinks would raise every part.
+            sent.add(work / executors.size(), now, cold.warmWithin());
             ex.coldWork.add(work, now);
         }
     }
--- a/core/src/test/java/gradereach/FrontEnd.java
+++ b/core/src/test/java/gradereach/FrontEnd.java
@@ -57,6 +57,13 @@
         at(time, () -> policy.roster(RosterForm.CHANGES, List.of(listing(ex, standing, 0))));
     }
 
+    /** Executors that are new to it and have started then. */
+    void join(double time, double startedAt, Executor... fresh) {
+        executors.addAll(List.of(fresh));
+        at(time, () -> policy.roster(RosterForm.CHANGES,
+                Arrays.stream(fresh).map(ex -> listing(ex, Standing.READY, startedAt)).toList()));
+    }
+
     /** Lets time pass; wakes as often as an instance may ask. */
     void pass(double until) {
         for (double t = now + 5; t <= until; t += 5) {
