--- a/gateway/src/main/java/gradereach/desk/Desk.java
+++ b/gateway/src/main/java/gradereach/desk/Desk.java
@@ -1000,27 +1000,7 @@
         }
         chronicle.moduleFailed(why, event, open.size());
         era++;
-        for (Life life : open) {
-            Inference inf = life.inference;
-            inf.done = true;
-            boolean harmless = !inf.mayHaveRun() || inf.group.repeat() == Repeat.RETRIABLE
-                    || inf.group.repeat() == Repeat.DEDUPED && inf.group.dedupScope() == DedupScope.ALL;
-            for (Flight flight : life.flights) {
-                if (!flight.ended) {
-                    flight.givenUp = true;
-                    links.giveUp(flight);
-                    flight.ended = true;
-                    timers.cancel(flight.timer, flight);
-                    flight.forward.outcome = flight.sent ? Outcome.CANCELLED : Outcome.NEVER_SENT;
-                }
-            }
-            if (harmless && Double.isNaN(life.memory.uncertainSince)) {
-                finish(life, words.shed(life.memory.id, "this front end starts its decisions anew",
-                        forwarding.clientsHearPause() ? forwarding.longestPause() : 0));
-            } else {
-                finish(life, unknown(life));
-            }
-        }
+        open.forEach(life -> endHere(life, "this front end starts its decisions anew"));
         lives.values().removeIf(Life::over);
         models.clear();
         names.clear();
@@ -1051,6 +1031,41 @@
         }
     }
 
+    /** Ends what is owed an answer still, as rules 1 and 2 say: this front end cannot wait for it. */
+    public void endAll(String why) {
+        for (Life life : List.copyOf(lives.values())) {
+            if (!life.inference.done && life.flow == null) {
+                endHere(life, why);
+                if (life.era == era) {
+                    toModule("left", () -> router.left(life.inference));
+                }
+            }
+        }
+        lives.values().removeIf(Life::over);
+    }
+
+    private void endHere(Life life, String why) {
+        Inference inf = life.inference;
+        inf.done = true;
+        boolean harmless = !inf.mayHaveRun() || inf.group.repeat() == Repeat.RETRIABLE
+                || inf.group.repeat() == Repeat.DEDUPED && inf.group.dedupScope() == DedupScope.ALL;
+        for (Flight flight : life.flights) {
+            if (!flight.ended) {
+                flight.givenUp = true;
+                links.giveUp(flight);
+                flight.ended = true;
+                timers.cancel(flight.timer, flight);
+                flight.forward.outcome = flight.sent ? Outcome.CANCELLED : Outcome.NEVER_SENT;
+            }
+        }
+        if (harmless && Double.isNaN(life.memory.uncertainSince)) {
+            finish(life, words.shed(life.memory.id, why,
+                    forwarding.clientsHearPause() ? forwarding.longestPause() : 0));
+        } else {
+            finish(life, unknown(life));
+        }
+    }
+
     // ---- what nobody saw the end of -----------------------------------------------------------------------
 
     /** A message of unknown end and the forwards that may have run, still in question. */
