A model that fails to load wherever it is tried is given up at once

Line at fault: Policy.provide orders on whenever nothing stands. After three failed loads in a row of a model of which nothing stands, what is held for it is given up (never run, so shed), and one more try is made 5 s later. PolicyTest: without the mend 20 executors are tried and the inference is held.

--- a/core/src/main/java/gradereach/Policy.java
+++ b/core/src/main/java/gradereach/Policy.java
@@ -180,6 +180,7 @@
             case RETURNED -> {
                 c.warm = Math.max(1, c.warm);
                 c.usedAt = now;
+                c.model.failedLoads = 0;
                 c.standsUntil = now + loading.keepsIdleFor();
                 review(c);
                 health.trusted(ex, now);
@@ -250,8 +251,27 @@
         } else {
             health.distrusted(ex, 0.7, now);
         }
+        if (outcome == Outcome.ERROR && !question) {
+            mdl.failedLoads++;
+            mdl.failedAt = now;
+        } else if (standing > 0) {
+            mdl.failedLoads = 0;
+        }
+    }
+
+    /**
+     * Failed wherever it was tried: there hardly is such a model, and what asks for it is given up at once instead of
+     * being ordered on one executor after the other. Later one more try is made. Harms models that come up while no
+     * executor can load.
+     */
+    private boolean cannotLoad(Model mdl) {
+        return mdl.failedLoads >= NO_SUCH_MODEL && !mdl.anyWarm() && mdl.inFlight == 0
+                && now - mdl.failedAt < TRIED_AGAIN;
     }
 
+    private static final int NO_SUCH_MODEL = 3; // of sound loads a few in a hundred fail: thrice in a row none does
+    private static final double TRIED_AGAIN = 5000; // longer than a burst of clients that come again at once
+
     private static final double SHUN = 1000; // a pair that said no is passed over for about one load
 
     @Override public void heard(int from, byte[] words) { }
@@ -348,6 +368,10 @@
     private double lastMoment(Inference inf) { return inf.leavesAt - 3 * tier.tick(); }
 
     private void releaseHeld(Model mdl) {
+        if (cannotLoad(mdl)) {
+            List.copyOf(mdl.held).forEach(this::giveUp);
+            return;
+        }
         boolean lanes = true;
         boolean room = true;
         // Lanes that others fill come free unseen: without any of ours out, there is nothing to wait for.
@@ -507,7 +531,7 @@
 
     /** Orders one more when the counted lanes run out. */
     private void provide(Model mdl) {
-        if (mdl.holdsOut >= MODEL_LOADS || holdsOut >= TOTAL_LOADS || !rules.mayOrder(now)) {
+        if (mdl.holdsOut >= MODEL_LOADS || holdsOut >= TOTAL_LOADS || !rules.mayOrder(now) || cannotLoad(mdl)) {
             return;
         }
         int lanes = 0;
--- a/core/src/main/java/gradereach/state/Model.java
+++ b/core/src/main/java/gradereach/state/Model.java
@@ -34,6 +34,9 @@
     public int holdsOut;
     public int asksOut;
     public double askedAt = Double.NEGATIVE_INFINITY;
+    /** Loads that failed in a row, since one of it was last known to stand; and when the last did. */
+    public int failedLoads;
+    public double failedAt = Double.NEGATIVE_INFINITY;
 
     public Model(long id) {
         this.id = id;
--- a/core/src/test/java/gradereach/FrontEnd.java
+++ b/core/src/test/java/gradereach/FrontEnd.java
@@ -93,6 +93,14 @@
         }
     }
 
+    void orderFailed(double time, Executor ex, Model mdl) {
+        at(time, () -> policy.ordered(ex, mdl, Outcome.ERROR, 1, 0));
+    }
+
+    double now() {
+        return now;
+    }
+
     void end(double time, Forward fwd, Outcome outcome) { end(time, fwd, outcome, 0); }
 
     /** Answers a forward as if it had met {@code crowd} others of its model. */
--- a/core/src/test/java/gradereach/PolicyTest.java
+++ b/core/src/test/java/gradereach/PolicyTest.java
@@ -52,6 +52,35 @@
         assertEquals(1, fe.count("forward"));
     }
 
+    /** As of a name that no executor knows: not one order after the other through the fleet, nor held to the last. */
+    @Test
+    void aModelThatFailsToLoadWhereverItIsTriedIsGivenUpAtOnceAndTriedAgainLater() {
+        FrontEnd fe = new FrontEnd().start(1, 20, 0);
+        fe.take(2000, FrontEnd.RETRIABLE, mdl);
+        failOrders(fe, 2400);
+        assertEquals(3, fe.count("hold"));
+        assertEquals(List.of("shed 1"), fe.done.stream().filter(line -> line.startsWith("shed")).toList());
+        fe.take(2500, FrontEnd.RETRIABLE, mdl);
+        assertEquals(1, fe.count("shed 2"));
+        fe.take(8000, FrontEnd.RETRIABLE, mdl);
+        failOrders(fe, 8400);
+        assertEquals(4, fe.count("hold"));
+    }
+
+    /** Whatever is asked stands nowhere, and each order fails as it comes. */
+    private void failOrders(FrontEnd fe, double until) {
+        for (double t = fe.now() + 5; t < until; t += 5) {
+            double at = t;
+            fe.pass(t);
+            for (Executor ex : fe.executors) {
+                if (mdl.on(ex).pending && mdl.on(ex).ordered > 0) {
+                    fe.orderFailed(at, ex, mdl);
+                }
+                fe.standing(at, ex, mdl, 0);
+            }
+        }
+    }
+
     /** Before any answer tells, a fresh front end tries its part of 16 an executor: loads and asks come first as it is. */
     @ParameterizedTest
     @CsvSource({"3, 3, 16", "3, 6, 8", "6, 3, 32"})
