Questions by the settings' price of asking; looks as before

An order for one copy goes to the same first executors, counts what stands there and is answered at once, so it asks too. Now looks are paid for as before, and of the four questions only as many are asked as cost 0.028 points at the settings' price: four at 0.007, none at 0.08.

--- a/core/src/main/java/gradereach/Policy.java
+++ b/core/src/main/java/gradereach/Policy.java
@@ -33,8 +33,7 @@
     private final Set<Model> waiting = new LinkedHashSet<>();
     private final Alarms alarms = new Alarms();
     private double wakeAt = Double.POSITIVE_INFINITY;
-    private int holdsOut;
-    private double credit;
+    private int holdsOut, credit = 10 * PAID;
     private boolean following;
     private double pressed, pressedAt = Double.NEGATIVE_INFINITY;
     private double meanUse, reports;
@@ -58,7 +57,6 @@
         share = new Share(1d / Math.max(1, tier.frontEnds()));
         rules = new Rules(coldStarts, ration, share, forwarding, new Recent(), new Recent(), new Fading(),
                 executors, chance);
-        credit = 10 * paid();
         shares = new Shares(surplusValue, customers.stream().mapToDouble(Customer::quotaPerSecond)
                 .toArray(), share, customers.stream().map(c -> new Fading()).toList());
         for (ModelGroup group : groups) {
@@ -126,7 +124,7 @@
             mdl.groupPace = groupPaces.get(groups.indexOf(inf.group));
         }
         rules.taken().add(1, now);
-        credit = Math.min(10 * paid(), credit + paid());
+        credit = Math.min(10 * PAID, credit + PAID);
         inf.surplus = shares.surplus(inf.customer, now);
         mdl.count++;
         mdl.lately.add(1, now, LATELY);
@@ -493,7 +491,7 @@
 
     /** Probes it where its report is old; whether the answer is worth a wait. */
     private boolean look(Executor ex) {
-        if (!ex.probing && now - ex.reportAt > FRESH && credit >= 1 && wantedProbed.add(ex)) {
+        if (!ex.probing && now - ex.reportAt > FRESH && credit > 0 && wantedProbed.add(ex)) {
             credit--;
         }
         return awaited(ex);
@@ -510,13 +508,9 @@
 
     /**
      * Looks and questions an inference taken pays for, ten's at once; three are used when all is well. Guards
-     * against a fleet that is asked more the worse it is; harms a front end that restarts into many models. Where
-     * each costs much, fewer: an order at the first in rendezvous order, answered at once where a copy stands, asks too.
+     * against a fleet that is asked more the worse it is; harms a front end that restarts into many models.
      */
-    private double paid() { return Math.min(PAID, PAID_PRICE / tier.probePrice()); }
-
-    private static final double PAID = 8;
-    private static final double PAID_PRICE = 0.056; // of an inference's points: what eight cost where one costs 0.007
+    private static final int PAID = 8;
     private static final double FRESH = 300; // reports are refreshed a few times a second
 
     private static final double ORDER_ARRIVES = 20; // a forward may overtake an order: a few network trips
@@ -559,11 +553,13 @@
         }
         int depth = 0;
         List<Executor> near = nearest(mdl);
-        for (int i = 0; i < near.size() && depth < ASK_DEPTH; i++) {
+        // Where asking costs more, fewer are asked, or none: an order is answered at once where a copy stands.
+        double asks = Math.min(ASK_DEPTH, ASK_PRICE / tier.probePrice());
+        for (int i = 0; i < near.size() && depth + 1 <= asks; i++) {
             Copies c = rules.mayOrderOn(near.get(i)) ? mdl.on(near.get(i)) : null;
             if (c != null && c.warm == 0) {
                 depth++;
-                if (!c.pending && now - c.heardAt > ASK_EVERY && credit >= 1) {
+                if (!c.pending && now - c.heardAt > ASK_EVERY && credit > 0) {
                     credit--;
                     mdl.askedAt = now;
                     want(c, 0);
@@ -582,6 +578,7 @@
     private static final double ASK_EVERY = 8000; // cheap beside a load, but each one asked must answer
     /** Orders go to the first in rendezvous order, so what stands does so on the first few. */
     private static final int ASK_DEPTH = 4;
+    private static final double ASK_PRICE = 0.028; // of an inference's points: what four cost where one costs 0.007
     private static final double ASK_PATIENCE = 15; // a few network trips; one that stalls is not waited for
 
     /** The executors in a model's rendezvous order; sorted anew where the fleet has changed. */
