--- a/gateway/src/main/java/gradereach/desk/Place.java
+++ b/gateway/src/main/java/gradereach/desk/Place.java
@@ -30,6 +30,11 @@
         return line == null ? 0 : line.kind();
     }
 
+    /** Whether the roster has it as one that takes inferences and orders. */
+    public boolean ready() {
+        return line != null && line.standing() == Standing.READY;
+    }
+
     boolean gone() {
         return line == null || line.standing() == Standing.GONE;
     }
