--- a/core/src/main/java/gradereach/Policy.java
+++ b/core/src/main/java/gradereach/Policy.java
@@ -257,21 +257,21 @@
         }
     }
 
+    private static final double SHUN = 1000; // a pair that said no is passed over for about one load
+
     /**
-     * Failed wherever it was tried: there hardly is such a model, and what asks for it is given up at once instead of
-     * being ordered on one executor after the other. Later one more try is made. Harms models that come up while no
-     * executor can load.
+     * Failed wherever it was tried: there hardly is such a model. What asks for it is given up at once, and
+     * not ordered on one executor after the other; later one more try is made. Harms models that come up
+     * while no executor can load.
      */
     private boolean cannotLoad(Model mdl) {
         return mdl.failedLoads >= NO_SUCH_MODEL && !mdl.anyWarm() && mdl.inFlight == 0
                 && now - mdl.failedAt < TRIED_AGAIN;
     }
 
-    private static final int NO_SUCH_MODEL = 3; // of sound loads a few in a hundred fail: thrice in a row none does
+    private static final int NO_SUCH_MODEL = 3; // few sound loads fail: hardly one thrice in a row
     private static final double TRIED_AGAIN = 5000; // longer than a burst of clients that come again at once
 
-    private static final double SHUN = 1000; // a pair that said no is passed over for about one load
-
     @Override public void heard(int from, byte[] words) { }
 
     @Override public void share(double part) { share.part = part; }
@@ -525,7 +525,8 @@
 
     /** Orders one more when the counted lanes run out. */
     private void provide(Model mdl) {
-        if (mdl.holdsOut >= MODEL_LOADS || holdsOut >= TOTAL_LOADS || !rules.mayOrder(now) || cannotLoad(mdl)) {
+        if (mdl.holdsOut >= MODEL_LOADS || holdsOut >= TOTAL_LOADS || !rules.mayOrder(now)
+                || cannotLoad(mdl)) {
             return;
         }
         int lanes = 0;
@@ -553,7 +554,7 @@
         }
         int depth = 0;
         List<Executor> near = nearest(mdl);
-        // Where asking costs more, fewer are asked, or none: an order is answered at once where a copy stands.
+        // Where asking costs more, fewer are asked, or none: an order is answered at once where one stands.
         double asks = Math.min(ASK_DEPTH, ASK_PRICE / tier.probePrice());
         for (int i = 0; i < near.size() && depth + 1 <= asks; i++) {
             Copies c = rules.mayOrderOn(near.get(i)) ? mdl.on(near.get(i)) : null;
@@ -578,7 +579,7 @@
     private static final double ASK_EVERY = 8000; // cheap beside a load, but each one asked must answer
     /** Orders go to the first in rendezvous order, so what stands does so on the first few. */
     private static final int ASK_DEPTH = 4;
-    private static final double ASK_PRICE = 0.028; // of an inference's points: what four cost where one costs 0.007
+    private static final double ASK_PRICE = 0.028; // points an inference: four where each costs 0.007
     private static final double ASK_PATIENCE = 15; // a few network trips; one that stalls is not waited for
 
     /** The executors in a model's rendezvous order; sorted anew where the fleet has changed. */
@@ -840,9 +841,9 @@
             double usual = sent.value(now, cold.warmWithin()) / cold.warmWithin();
             // Three quarters of the bearable: the rest is for inferences that turn out longer than the mean.
             double bears = 0.75 * cold.fallMultiple() * cold.fallTime() * share;
-            // What it is used to beyond its part counts half: the others' parts stand, however little they send.
+            // What it is used to beyond its part counts half: the others' parts stand, however little used.
             double part = bears * (ours.part + Math.max(0, usual - ours.part) / 2);
-            // The one before a restart may have spent this part just now: half of it, until that no longer counts.
+            // The one before a restart may have spent this part just now: half, until that no longer counts.
             part *= now - ours.since < cold.fallTime() ? 0.5 : 1;
             if (now >= ex.drawnUntil) {
                 ex.drawnUntil = now + cold.fallTime();
@@ -852,7 +853,7 @@
         }
 
         void forwarded(Executor ex, double work, double now) {
-            // For each of those there were: were it divided later, a fleet that shrinks would raise every part.
+            // By those there are: divided later, a fleet that shrinks would raise every part.
             sent.add(work / executors.size(), now, cold.warmWithin());
             ex.coldWork.add(work, now);
         }
