--- a/gateway/src/main/java/gradereach/desk/Desk.java
+++ b/gateway/src/main/java/gradereach/desk/Desk.java
@@ -100,6 +100,7 @@
     private final LongAdder probesSent;
     private final LongAdder lateAnswers;
     private final LongAdder overdue;
+    private final LongAdder expired;
     private final LongAdder repeatsJoined;
     private final LongAdder repeatsAnswered;
     private final LongAdder repeatsWaited;
@@ -183,6 +184,7 @@
         probesSent = counts.counter("probes_sent");
         lateAnswers = counts.counter("late_answers_dropped");
         overdue = counts.counter("answers_overdue");
+        expired = counts.counter("messages_expired_unread");
         repeatsJoined = counts.counter("repeats_joined");
         repeatsAnswered = counts.counter("repeats_answered_from_memory");
         repeatsWaited = counts.counter("repeats_waiting_for_knowledge");
@@ -431,6 +433,13 @@
 
     /** @param before its entry, where it has one; {@code repeated} where a life of it has ended before */
     private void take(Arrival arrival, MessageMemory.Entry before, boolean repeated) {
+        double clientLeavesAt = arrival.arrivedAt() + budget(arrival);
+        if (before == null && clientLeavesAt <= now) {
+            // It lay unread while this process stood still. Nothing of it has run.
+            expired.increment();
+            arrival.asker().answer(words.shed(arrival.id(), "its client's time was up before it was read", 0));
+            return;
+        }
         if (lives.size() >= door.mostTaken()) {
             takenLimit.refuse();
             atTheDoor(arrival, "this front end holds as many inferences as it may");
@@ -459,7 +468,6 @@
             return;
         }
         mdl = mdl != null ? mdl : model(arrival.model());
-        double clientLeavesAt = arrival.arrivedAt() + budget(arrival);
         // The answer must be durable before it leaves: the module has that much less time.
         double leavesAt = clientLeavesAt - (careful ? ledger.margin() : 0);
         if (!Double.isNaN(entry.uncertainSince) && entry.group.repeat() == Repeat.DEDUPED) {
--- a/gateway/src/main/java/gradereach/desk/Order.java
+++ b/gateway/src/main/java/gradereach/desk/Order.java
@@ -14,7 +14,7 @@
     final int era;
     final double sentAt;
     long timer;
-    boolean ended;
+    volatile boolean ended;
 
     Order(Place place, String modelName, Model model, int copies, int era, double sentAt, double patience) {
         this.place = place;
@@ -25,4 +25,9 @@
         this.sentAt = sentAt;
         this.patience = patience;
     }
+
+    /** Whether its end is still waited for: a link that has not sent it yet need not, once it is not. */
+    public boolean wanted() {
+        return !ended;
+    }
 }
