One event that breaks costs itself alone: alarms, settling, decision loop

Second cause of `lost`, shown: DeskLoop.settle and fire left `open` set when an alarm threw outside the module's guard (Desk.due -> Links.giveUp and the like). The gateway's DecisionLoop ended its thread in the same case (DecisionLoopTest). Both guard each event now, count `event_failures` and tell the cause; a message whose taking breaks is answered 500 (DeskTest).

--- a/gateway/src/main/java/gradereach/desk/Asker.java
+++ b/gateway/src/main/java/gradereach/desk/Asker.java
@@ -7,7 +7,7 @@
 public interface Asker {
     void answer(FinalAnswer answer);
 
-    /** The message cannot be an inference here: an HTTP status of the 4xx class, a word and a sentence. */
+    /** The message cannot be an inference here: an HTTP status of the 4xx class or 500, a word and a sentence. */
     void refuse(int status, String word, String why);
 
     /** Whoever waited has left, and nobody has told the desk: its message was not taken yet. */
--- a/gateway/src/main/java/gradereach/desk/Desk.java
+++ b/gateway/src/main/java/gradereach/desk/Desk.java
@@ -298,6 +298,20 @@
 
     /** A message whose signature held. It is a new inference, the same again, or cannot be one. */
     public void arrived(Arrival arrival) {
+        try {
+            receive(arrival);
+        } catch (RuntimeException | Error e) {
+            // Whatever broke, it costs this message alone, and whoever waits for it is told.
+            MessageMemory.Entry entry = memory.find(arrival.customer(), arrival.id());
+            if (entry != null) {
+                entry.askers.remove(arrival.asker());
+            }
+            arrival.asker().refuse(500, "internal-error", "this front end failed to take the message");
+            throw e;
+        }
+    }
+
+    private void receive(Arrival arrival) {
         memory.expire(now);
         MessageMemory.Entry entry = memory.find(arrival.customer(), arrival.id());
         switch (memory.recall(entry, arrival, now)) {
@@ -699,7 +713,7 @@
         }
         List<Listing> listings = new ArrayList<>(lines.size());
         for (RosterLine line : lines) {
-            Place place = place(line.instance(), line.address());
+            Place place = placeNow(line);
             place.line = line;
             listings.add(listing(place));
             if (line.standing() == Standing.GONE) {
@@ -709,6 +723,22 @@
         toModule("roster", () -> router.roster(form, listings));
     }
 
+    /** Its place, or a new one where discovery has it at another address now: nothing more goes to the old one. */
+    private Place placeNow(RosterLine line) {
+        Place known = place(line.instance(), line.address());
+        if (line.standing() == Standing.GONE || line.address().isEmpty() || known.address.equals(line.address())) {
+            return known;
+        }
+        if (known.line != null) {
+            known.line = known.line.gone();
+        }
+        links.hangUp(known);
+        places.remove(known.instance);
+        Place moved = place(line.instance(), line.address());
+        moved.executor = known.executor; // the module knows it by this; what it holds may have moved with it
+        return moved;
+    }
+
     private void gone(Place place) {
         if (place.line != null) {
             place.line = place.line.gone();
@@ -716,8 +746,7 @@
         links.hangUp(place);
         // Not before what was sent to it has left the window of rule 4: it may be listed again, cold as it was.
         timers.set(now + cold.fallTime() + 1, (Runnable) () -> {
-            if (place.gone()) {
-                places.remove(place.instance, place);
+            if (place.gone() && places.remove(place.instance, place)) {
                 placesById.remove(place.id, place);
             }
         });
@@ -725,8 +754,7 @@
 
     private Listing listing(Place place) {
         RosterLine line = place.line;
-        double startedAt = line.startedAt() > 0 ? wall.toModule(line.startedAt()) : 0;
-        return new Listing(place.executor, line.size(), startedAt, line.standing(), line.location(), line.kind(),
+        return new Listing(place.executor, line.size(), place.startedAt(wall), line.standing(), line.location(), line.kind(),
                 line.cell());
     }
 
@@ -1026,7 +1054,7 @@
             if (place.gone()) {
                 continue;
             }
-            double startedAt = place.line.startedAt() > 0 ? wall.toModule(place.line.startedAt()) : 0;
+            double startedAt = place.startedAt(wall);
             if (startedAt > 0 && now - startedAt < cold.warmWithin() + cold.fallTime()) {
                 later.add(place);
             } else {
--- a/gateway/src/main/java/gradereach/desk/Place.java
+++ b/gateway/src/main/java/gradereach/desk/Place.java
@@ -12,7 +12,11 @@
     public final long id;
     /** Replaced when the module starts anew. */
     Executor executor;
-    RosterLine line;
+    /** As discovery told it last; read by the executor link's threads as well. */
+    volatile RosterLine line;
+    /** Its start as discovery told it, and the same in module time: converted once, since the wall clock may be stepped. */
+    private double startedUnix;
+    private double startedModule;
     boolean probing;
     long probeTimer;
     Object probe;
@@ -35,6 +39,15 @@
         return line != null && line.standing() == Standing.READY;
     }
 
+    /** When it started, module time; 0 for long ago. */
+    double startedAt(Desk.WallClock wall) {
+        if (line.startedAt() != startedUnix) {
+            startedUnix = line.startedAt();
+            startedModule = startedUnix > 0 ? wall.toModule(startedUnix) : 0;
+        }
+        return startedModule;
+    }
+
     boolean gone() {
         return line == null || line.standing() == Standing.GONE;
     }
--- a/gateway/src/main/java/gradereach/http2/Http2Pool.java
+++ b/gateway/src/main/java/gradereach/http2/Http2Pool.java
@@ -41,6 +41,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -105,13 +106,15 @@
         private final Http2Headers headers;
         private final byte[] body;
         private final Exchange exchange;
+        private final BooleanSupplier wanted;
         private Slot<Channel> slot;
         private Http2StreamChannel stream;
         private double begunAt;
         private boolean written;
         private boolean over;
 
-        private Request(Http2Headers headers, byte[] body, Exchange exchange) {
+        private Request(Http2Headers headers, byte[] body, Exchange exchange, BooleanSupplier wanted) {
+            this.wanted = wanted;
             this.headers = headers;
             this.body = body;
             this.exchange = exchange;
@@ -184,7 +187,10 @@
                     }
                     return;
                 }
-                if (!opened.isSuccess()) {
+                if (!opened.isSuccess() || !wanted.getAsBoolean()) {
+                    if (opened.isSuccess()) {
+                        ((Channel) opened.getNow()).close();
+                    }
                     end(End.NOT_WRITTEN, 0, null, null);
                     return;
                 }
@@ -212,6 +218,12 @@
 
     /** From any thread. {@code more} are name, value pairs with lower-case names. */
     public Request send(String method, String path, byte[] body, Exchange exchange, String... more) {
+        return send(() -> true, method, path, body, exchange, more);
+    }
+
+    /** From any thread. Nothing of it is written where {@code wanted} says no by then; that is asked on the event loop. */
+    public Request send(BooleanSupplier wanted, String method, String path, byte[] body, Exchange exchange,
+            String... more) {
         Http2Headers headers = new DefaultHttp2Headers(false).method(method).path(path).scheme("http")
                 .authority(authority);
         if (body.length > 0) {
@@ -220,7 +232,7 @@
         for (int i = 0; i < more.length; i += 2) {
             headers.add(more[i], more[i + 1]);
         }
-        Request request = new Request(headers, body, exchange);
+        Request request = new Request(headers, body, exchange, wanted);
         if (loop.inEventLoop()) {
             begin(request);
         } else {
--- a/gateway/src/main/java/gradereach/link/ExecutorLinks.java
+++ b/gateway/src/main/java/gradereach/link/ExecutorLinks.java
@@ -144,7 +144,7 @@
             Report report = report(headers);
             toDesk.accept(desk -> desk.ended(flight, outcome, warmth, crowd, report, body));
         };
-        flight.stream = pool(flight.place).send("POST",
+        flight.stream = pool(flight.place).send(flight::mayLeave, "POST",
                 inferPaths.computeIfAbsent(flight.model(), m -> "/v2/models/" + encoded(m) + "/infer"), flight.input().json(),
                 end, "content-type", "application/json", "x-request-id", flight.name(), "idempotency-key",
                 flight.mark(), "user-agent", agent);
@@ -199,7 +199,7 @@
             Report report = report(headers);
             toDesk.accept(desk -> desk.ended(flight, known, warmth, crowd, report, answer));
         };
-        flight.stream = pool(flight.place).send("POST", CALL, GrpcForm.framed(flight.input().message()), end,
+        flight.stream = pool(flight.place).send(flight::mayLeave, "POST", CALL, GrpcForm.framed(flight.input().message()), end,
                 "content-type", "application/grpc", "te", "trailers", "x-request-id", flight.name(), "idempotency-key",
                 flight.mark(), "user-agent", agent);
     }
@@ -222,7 +222,7 @@
         }
 
         void send() {
-            request = streams(flight.place).send("POST", STREAM, GrpcForm.framed(flight.input().message()), this,
+            request = streams(flight.place).send(flight::mayLeave, "POST", STREAM, GrpcForm.framed(flight.input().message()), this,
                     "content-type", "application/grpc", "te", "trailers", "x-request-id", flight.name(), "idempotency-key",
                     flight.mark(), "user-agent", agent);
             flight.stream = request;
@@ -295,7 +295,7 @@
     public void order(Order order) {
         String path = "/v2/repository/models/" + encoded(order.modelName) + "/load";
         byte[] body = ("{\"parameters\":{\"copies\":" + order.copies + "}}").getBytes(StandardCharsets.UTF_8);
-        pool(order.place).send("POST", path, body, (how, status, headers, content) -> {
+        pool(order.place).send(() -> order.wanted() && order.place.ready(), "POST", path, body, (how, status, headers, content) -> {
             Outcome outcome = Proofs.ofOrder(how, status);
             int standing = number(header(headers, COPIES), 0);
             toDesk.accept(desk -> desk.ordered(order, outcome, standing));
--- a/gateway/src/main/java/gradereach/loop/DecisionLoop.java
+++ b/gateway/src/main/java/gradereach/loop/DecisionLoop.java
@@ -49,6 +49,8 @@
     private volatile boolean asleep;
     private volatile boolean stopping;
     private volatile Throwable death;
+    private volatile Consumer<Throwable> failures = failure -> { };
+    private final LongAdder failed;
 
     /** @param doorRoom messages that may wait to be looked at */
     public DecisionLoop(String name, Clock clock, int doorRoom, Counts counts, Function<Timers, Desk> desk) {
@@ -58,6 +60,7 @@
         turns = counts.counter("decision_turns");
         slowTurns = counts.counter("decision_turns_slow");
         events = counts.counter("decision_events");
+        failed = counts.counter("event_failures");
         wheel = new DeadlineTimerWheel(TimeUnit.MICROSECONDS, micros(clock.now()), TICK_MICROS, TICKS);
         this.desk = desk.apply(this);
         thread = new Thread(this::run, "decisions-" + name);
@@ -100,6 +103,20 @@
         }
     }
 
+    /** Whom exceptions are told that events let out; each costs that event alone. */
+    public void onFailure(Consumer<Throwable> listener) {
+        failures = listener;
+    }
+
+    private void guarded(Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException | Error e) {
+            failed.increment();
+            failures.accept(e);
+        }
+    }
+
     /** What ended the loop, null while it runs or after an orderly end. */
     public Throwable death() {
         return death;
@@ -131,20 +148,20 @@
         if (due.isEmpty() && ends.isEmpty() && door.isEmpty() && !desk.hasMore()) {
             return false;
         }
-        desk.begin(now);
+        guarded(() -> desk.begin(now));
         int count = due.size();
         for (Object whom : due) {
-            desk.due(whom);
+            guarded(() -> desk.due(whom));
         }
         due.clear();
         // Ends first: they free lanes and owe nobody anything more.
         for (Consumer<Desk> event; count < BATCH && (event = ends.relaxedPoll()) != null; count++) {
-            event.accept(desk);
+            accept(event);
         }
         for (Consumer<Desk> event; count < BATCH && (event = door.relaxedPoll()) != null; count++) {
-            event.accept(desk);
+            accept(event);
         }
-        desk.settle();
+        guarded(desk::settle);
         turns.increment();
         events.add(count);
         doorLimit.present(door.size());
@@ -154,6 +171,10 @@
         return true;
     }
 
+    private void accept(Consumer<Desk> event) {
+        guarded(() -> event.accept(desk));
+    }
+
     private void idle() {
         for (int i = 0; i < SPINS; i++) {
             if (!ends.isEmpty() || !door.isEmpty()) {
--- a/gateway/src/main/java/gradereach/serve/Gateway.java
+++ b/gateway/src/main/java/gradereach/serve/Gateway.java
@@ -128,6 +128,7 @@
                             (int) plan.limit("waiting_for_one", 8)),
                     plan.loading(), plan.forwards(), plan.coldStart(), names, counts);
         });
+        loop.onFailure(failure -> LOG.error("an event failed; it costs itself alone", failure));
         peerFront = claims == null ? null : new PeerFront(claims, 4 * plan.peers().size() + 16, counts);
         outbox = new Outbox(names, plan.answerEndpoints(), plan.answerKeys(), ledger == null ? Ledger.NONE : ledger,
                 (int) plan.limit("outbox", 10_000), Outbox.thread(), clock::now,
--- a/gateway/src/test/java/gradereach/desk/DeskTest.java
+++ b/gateway/src/test/java/gradereach/desk/DeskTest.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gradereach.api.ModelGroup;
@@ -68,6 +70,59 @@
         assertEquals(2, stage.desk.places().size());
     }
 
+    /** Discovery has the same instance at another address: nothing more goes to the old one. */
+    @Test
+    void anInstanceThatHasMovedIsMetAtItsNewAddress() {
+        stage.roster(RosterForm.FULL, new RosterLine("s-1", "10.0.0.1:80", 1, 0, Standing.READY, 0, 0, 0));
+        stage.ask("a", Stage.RETRIABLE, 1);
+        Flight before = stage.out();
+        stage.roster(RosterForm.CHANGES, new RosterLine("s-1", "10.0.0.9:80", 1, 0, Standing.READY, 0, 0, 0));
+        stage.ask("b", Stage.RETRIABLE, 1);
+        Flight after = stage.out();
+        assertEquals(List.of("10.0.0.1:80", "10.0.0.9:80"), List.of(before.place.address, after.place.address));
+        assertFalse(before.place.ready());
+        assertEquals(1, stage.desk.places().stream().filter(Place::ready).count());
+        stage.end(before, Outcome.RETURNED);
+        stage.end(after, Outcome.RETURNED);
+        assertEquals(0, stage.desk.owed());
+    }
+
+    /** Its start is converted once: a step of the wall clock, or a rounding, is no new start. */
+    @Test
+    void aStepOfTheWallClockIsNoNewStartOfAnExecutor() {
+        stage.roster(RosterForm.CHANGES, Stage.line(1, Standing.READY, stage.now - 500));
+        double startedAt = stage.desk.places().iterator().next().executor.startedAt;
+        stage.wallStep = 30_000;
+        stage.roster(RosterForm.CHANGES, Stage.line(1, Standing.READY, stage.now - 500));
+        assertEquals(startedAt, stage.desk.places().iterator().next().executor.startedAt);
+    }
+
+    @Test
+    void whatBreaksTheTakingOfAMessageCostsThatMessageAlone() {
+        Client broken = stage.new Client();
+        stage.timersFail = true;
+        assertThrows(IllegalStateException.class, () -> stage.at(stage.now,
+                () -> stage.desk.arrived(stage.arrival("a", Stage.RETRIABLE, 1, 0, broken))));
+        assertEquals("500 internal-error", broken.heard());
+        Client next = stage.ask("b", Stage.RETRIABLE, 1);
+        stage.end(stage.out(), Outcome.RETURNED);
+        assertEquals("1 RETURNED", next.heard());
+        stage.pass(stage.now + 2000);
+        assertEquals(List.of(), broken.answers);
+    }
+
+    /** It lay unread while the process stood still: nothing of it is sent any more. */
+    @Test
+    void aMessageWhoseTimeWasUpBeforeItWasReadIsShedAtOnce() {
+        Client late = stage.new Client();
+        Arrival arrival = stage.arrival("a", Stage.RETRIABLE, 1, 0, late);
+        stage.now += 1000;
+        stage.at(stage.now, () -> stage.desk.arrived(arrival));
+        assertEquals("1 SHED", late.heard());
+        assertEquals(0, stage.desk.owed());
+        assertEquals(List.of(), stage.flights);
+    }
+
     @Test
     void theSameMessageIsOneInferenceWithOneAnswer() {
         Client first = stage.ask("a", Stage.NON_RETRIABLE, 1);
--- a/gateway/src/test/java/gradereach/desk/Stage.java
+++ b/gateway/src/test/java/gradereach/desk/Stage.java
@@ -100,6 +100,10 @@
             Comparator.comparingDouble(Alarm::at).thenComparingLong(Alarm::id));
     private final Map<Long, Alarm> live = new HashMap<>();
     private long ids;
+    /** Milliseconds by which the wall clock was stepped. */
+    double wallStep;
+    /** The next timer cannot be set: an exception where no module is at work. */
+    boolean timersFail;
 
     private static ModelGroup group(String name, Repeat repeat, DedupScope scope) {
         return new ModelGroup(name, repeat, scope, 1500, 400, 0, 1000, 1, 0.2, false);
@@ -240,6 +244,10 @@
 
     @Override
     public long set(double at, Object whom) {
+        if (timersFail) {
+            timersFail = false;
+            throw new IllegalStateException("planted");
+        }
         Alarm alarm = new Alarm(Math.max(at, now), ids++, whom);
         alarms.add(alarm);
         live.put(alarm.id, alarm);
@@ -267,7 +275,7 @@
 
     @Override
     public double toModule(double unixMillis) {
-        return unixMillis;
+        return unixMillis - wallStep;
     }
 
     @Override
--- a/gateway/src/test/java/gradereach/http2/Http2PoolTest.java
+++ b/gateway/src/test/java/gradereach/http2/Http2PoolTest.java
@@ -134,6 +134,15 @@
         assertEquals(0, ends.size());
     }
 
+    /** While its connection came up, its executor began to drain or its client left. */
+    @Test
+    void whatIsNoLongerWantedWhenItsConnectionIsUpIsNotWritten() throws InterruptedException {
+        pool.send(() -> false, "GET", "/ok", new byte[0], (end, status, headers, body) -> ends.add(end + ""));
+        assertEquals("NOT_WRITTEN", ends.poll(20, TimeUnit.SECONDS));
+        pool.send(() -> true, "GET", "/ok", new byte[0], (end, status, headers, body) -> ends.add(end + ""));
+        assertEquals("ANSWERED", ends.poll(20, TimeUnit.SECONDS));
+    }
+
     @Test
     void givenUpBeforeOrAfterWritingIsTold() throws InterruptedException {
         Http2Pool.Request request = send(pool, "/never");
