--- a/gateway/src/main/java/gradereach/desk/Desk.java
+++ b/gateway/src/main/java/gradereach/desk/Desk.java
@@ -664,7 +664,8 @@
             links.giveUp(flight);
             ended(flight, flight.sent ? Outcome.TIMED_OUT : Outcome.NEVER_SENT, Warmth.UNTOLD, -1, null, null);
         } else if (whom instanceof Life life) {
-            timeUp(life);
+            // The module, where this thread is late, has its last moment still to come: it knows what may be shed.
+            afterwards.add(() -> timeUp(life));
         } else if (whom instanceof Order order) {
             ordered(order, Outcome.TIMED_OUT, 0);
         } else if (whom instanceof ProbeOut probe) {
--- a/gateway/src/test/java/gradereach/desk/DeskTest.java
+++ b/gateway/src/test/java/gradereach/desk/DeskTest.java
@@ -123,6 +123,18 @@
         assertEquals(List.of(), stage.flights);
     }
 
+    /** A late thread: the module's last moment and the client's time come at once. What never ran is shed, not failed. */
+    @Test
+    void aLateTimeOutLeavesTheModuleItsLastMoment() {
+        stage.roster(RosterForm.FULL);
+        Client client = stage.ask("a", Stage.NON_RETRIABLE, 1);
+        stage.now += 5000;
+        stage.at(stage.now, () -> stage.desk.due(client.life));
+        stage.pass(stage.now + 10);
+        assertEquals("1 SHED", client.heard());
+        assertEquals(0, stage.desk.owed());
+    }
+
     @Test
     void theSameMessageIsOneInferenceWithOneAnswer() {
         Client first = stage.ask("a", Stage.NON_RETRIABLE, 1);
