--- a/gateway/src/main/java/gradereach/roster/RosterBook.java
+++ b/gateway/src/main/java/gradereach/roster/RosterBook.java
@@ -45,15 +45,28 @@
         return told.size();
     }
 
-    /** A whole list ({@code EndpointSliceList}); all or nothing. */
+    /**
+     * A whole list ({@code EndpointSliceList}). Where a slice of it is bad, the good ones are used, since they may tell of
+     * executors that drain, and whatever the list lacks stays as it was.
+     */
     public void list(JsonNode list) throws BadRoster {
         JsonNode items = list.path("items");
         if (!items.isArray()) {
             throw new BadRoster("items: no list");
         }
         Map<String, List<RosterLine>> fresh = new LinkedHashMap<>();
+        BadRoster bad = null;
         for (JsonNode slice : items) {
-            fresh.put(EndpointSlices.name(slice), format.lines(slice));
+            try {
+                fresh.put(EndpointSlices.name(slice), format.lines(slice));
+            } catch (BadRoster e) {
+                bad = e;
+            }
+        }
+        if (bad != null) {
+            slices.putAll(fresh);
+            tell(false);
+            throw bad;
         }
         slices.clear();
         slices.putAll(fresh);
@@ -100,13 +113,14 @@
                 changed.add(line.gone());
             }
         }
-        told.clear();
-        told.putAll(wanted);
+        // Told first: where the hearer fails, it is told again with the next list.
         if (!toldAll || all && !changed.isEmpty()) {
-            toldAll = true;
             hearer.hear(RosterForm.FULL, List.copyOf(wanted.values()));
+            toldAll = true;
         } else if (!changed.isEmpty()) {
             hearer.hear(RosterForm.CHANGES, changed);
         }
+        told.clear();
+        told.putAll(wanted);
     }
 }
--- a/gateway/src/main/java/gradereach/roster/RosterWatch.java
+++ b/gateway/src/main/java/gradereach/roster/RosterWatch.java
@@ -88,7 +88,8 @@
                     wait = FIRST_WAIT;
                     watch();
                 }
-            } catch (IOException | BadRoster e) {
+            } catch (IOException | BadRoster | RuntimeException e) {
+                // Whatever breaks: this thread goes on, or nobody would hear of a change again.
                 if (closing) {
                     return;
                 }
--- a/gateway/src/test/java/gradereach/roster/RosterBookTest.java
+++ b/gateway/src/test/java/gradereach/roster/RosterBookTest.java
@@ -100,6 +100,32 @@
         assertEquals(1, book.size());
     }
 
+    /** One bad slice in a list must not hide that executors of another drain; what the list lacks stays meanwhile. */
+    @Test
+    void aBadSliceInAListHidesNoOther() throws Exception {
+        list(slice("a", 80, "\"ready\":true", "10.0.0.1"), slice("b", 80, "\"ready\":true", "10.0.0.2"));
+        assertThrows(BadRoster.class, () -> list(slice("a", 80, "\"ready\":false", "10.0.0.1"), "{\"metadata\":{}}"));
+        assertEquals("CHANGES [10.0.0.1:80=DRAINING]", heard.get(1));
+        assertEquals(2, book.size());
+    }
+
+    @Test
+    void whatItsHearerCouldNotTakeIsToldAgain() throws Exception {
+        List<String> told = new java.util.ArrayList<>();
+        boolean[] fails = {true};
+        RosterBook failing = new RosterBook(new EndpointSlices(List.of("halle-b")), (form, lines) -> {
+            if (fails[0]) {
+                fails[0] = false;
+                throw new IllegalStateException("planted");
+            }
+            told.add(form + " " + lines.size());
+        });
+        JsonNode all = JSON.readTree("{\"items\":[" + slice("a", 80, "", "10.0.0.1") + "]}");
+        assertThrows(IllegalStateException.class, () -> failing.list(all));
+        failing.list(all);
+        assertEquals(List.of("FULL 1"), told);
+    }
+
     /** Differences added up are the whole, over any sequence of changes and gaps. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
