A link drops what its executor's draining overtook, not what the module chose against it

A link decides nothing: it compares with the moment of the decision now, and drops what has changed since (ExecutorLinks.stillReady).

--- a/gateway/src/main/java/gradereach/desk/Flight.java
+++ b/gateway/src/main/java/gradereach/desk/Flight.java
@@ -46,11 +46,6 @@
         return !ended && !givenUp && !life.inference.done;
     }
 
-    /** Whether it may still be sent: somebody waits for it, and its executor takes inferences. From any thread. */
-    public boolean mayLeave() {
-        return !givenUp && place.ready();
-    }
-
     /** When it is given up, module time. */
     public double stopAt() {
         return stopAt;
--- a/gateway/src/main/java/gradereach/link/ExecutorLinks.java
+++ b/gateway/src/main/java/gradereach/link/ExecutorLinks.java
@@ -31,6 +31,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 
@@ -144,7 +145,7 @@
             Report report = report(headers);
             toDesk.accept(desk -> desk.ended(flight, outcome, warmth, crowd, report, body));
         };
-        flight.stream = pool(flight.place).send(flight::mayLeave, "POST",
+        flight.stream = pool(flight.place).send(stillWanted(flight), "POST",
                 inferPaths.computeIfAbsent(flight.model(), m -> "/v2/models/" + encoded(m) + "/infer"), flight.input().json(),
                 end, "content-type", "application/json", "x-request-id", flight.name(), "idempotency-key",
                 flight.mark(), "user-agent", agent);
@@ -153,6 +154,22 @@
         }
     }
 
+    /** Whether nothing has changed since it was decided: somebody waits for it, and its executor has not begun to drain. */
+    private static BooleanSupplier stillWanted(Flight flight) {
+        BooleanSupplier ready = stillReady(flight.place);
+        return () -> !flight.givenUp && ready.getAsBoolean();
+    }
+
+    private static BooleanSupplier stillWanted(Order order) {
+        BooleanSupplier ready = stillReady(order.place);
+        return () -> order.wanted() && ready.getAsBoolean();
+    }
+
+    private static BooleanSupplier stillReady(Place place) {
+        boolean wasReady = place.ready();
+        return () -> !wasReady || place.ready();
+    }
+
     /** Loads what {@link #call} needs: the first inferences of a process would pay for it otherwise. */
     public static void warmUp(int times) {
         byte[] json = "{\"inputs\":[{\"name\":\"x\",\"shape\":[1],\"datatype\":\"FP32\",\"data\":[1]}],\"parameters\":{\"p\":0.5}}"
@@ -199,7 +216,7 @@
             Report report = report(headers);
             toDesk.accept(desk -> desk.ended(flight, known, warmth, crowd, report, answer));
         };
-        flight.stream = pool(flight.place).send(flight::mayLeave, "POST", CALL, GrpcForm.framed(flight.input().message()), end,
+        flight.stream = pool(flight.place).send(stillWanted(flight), "POST", CALL, GrpcForm.framed(flight.input().message()), end,
                 "content-type", "application/grpc", "te", "trailers", "x-request-id", flight.name(), "idempotency-key",
                 flight.mark(), "user-agent", agent);
     }
@@ -222,7 +239,7 @@
         }
 
         void send() {
-            request = streams(flight.place).send(flight::mayLeave, "POST", STREAM, GrpcForm.framed(flight.input().message()), this,
+            request = streams(flight.place).send(stillWanted(flight), "POST", STREAM, GrpcForm.framed(flight.input().message()), this,
                     "content-type", "application/grpc", "te", "trailers", "x-request-id", flight.name(), "idempotency-key",
                     flight.mark(), "user-agent", agent);
             flight.stream = request;
@@ -295,7 +312,7 @@
     public void order(Order order) {
         String path = "/v2/repository/models/" + encoded(order.modelName) + "/load";
         byte[] body = ("{\"parameters\":{\"copies\":" + order.copies + "}}").getBytes(StandardCharsets.UTF_8);
-        pool(order.place).send(() -> order.wanted() && order.place.ready(), "POST", path, body, (how, status, headers, content) -> {
+        pool(order.place).send(stillWanted(order), "POST", path, body, (how, status, headers, content) -> {
             Outcome outcome = Proofs.ofOrder(how, status);
             int standing = number(header(headers, COPIES), 0);
             toDesk.accept(desk -> desk.ordered(order, outcome, standing));
