What lies unread is read before an idle connection or a moved change log is closed

The same mistake as in PlatformFront.room, elsewhere: the gateway's MessageClock and the HTTP/2 connection's look (WebhookFront.Http2Idle, IdleStreams now) closed by what had been read, and ChangelogClient.moved dropped the old watch with events unread in it, while the new one may be long in coming up ('drain'). UnreadBytes reads the socket first, and the look is taken again. Seen with UnreadBytes emptied: IdleConnectionTest's two, 'expected: <false> but was: <true>', ChangelogClientTest.whatWasToldBeforeAMoveIsReadBeforeTheMove 'expected: <1> but was: <0>', StandstillTest.aConnectionWithAnUnreadRequestMakesNoRoom '<closed>'; green with it.

--- a/gateway/src/main/java/gradereach/front/MessageClock.java
+++ b/gateway/src/main/java/gradereach/front/MessageClock.java
@@ -1,6 +1,7 @@
 package gradereach.front;
 
 import gradereach.counts.Counts;
+import gradereach.loop.UnreadBytes;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -49,17 +50,29 @@
 
     private void checkIdle(ChannelHandlerContext ctx) {
         ctx.executor().schedule(() -> {
-            if (!ctx.channel().isActive() || ctx.isRemoved()) {
-                return;
-            }
-            if (!inMessage && !owing && clock.getAsDouble() - quietSince >= idle) {
-                ctx.close();
-            } else {
+            if (ctx.channel().isActive() && !ctx.isRemoved() && !closeIfIdle(ctx)) {
                 checkIdle(ctx);
             }
         }, Math.max(1, idle / 4), TimeUnit.MILLISECONDS);
     }
 
+    /** Whether it was closed: a message that lies unread makes a connection no idle one. */
+    boolean closeIfIdle(ChannelHandlerContext ctx) {
+        if (!idleNow()) {
+            return false;
+        }
+        UnreadBytes.read(ctx.channel());
+        boolean closes = idleNow();
+        if (closes) {
+            ctx.close();
+        }
+        return closes;
+    }
+
+    private boolean idleNow() {
+        return !inMessage && !owing && clock.getAsDouble() - quietSince >= idle;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
         if (!inMessage) {
--- a/gateway/src/main/java/gradereach/front/WebhookFront.java
+++ b/gateway/src/main/java/gradereach/front/WebhookFront.java
@@ -7,7 +7,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
@@ -146,36 +145,7 @@
                     stream.pipeline().addLast(new MessageHandler(intake, outbox, streamClock));
                 }
             }));
-            pipeline.addLast(new Http2Idle(bounds.idle));
-        }
-    }
-
-    /** Closes an HTTP/2 connection on which no stream has been open for long. */
-    private static final class Http2Idle extends ChannelInboundHandlerAdapter {
-        private final long idle;
-        private boolean streamsBefore = true;
-
-        Http2Idle(long idle) {
-            this.idle = idle;
-        }
-
-        @Override
-        public void handlerAdded(ChannelHandlerContext ctx) {
-            ctx.executor().schedule(() -> check(ctx), idle, java.util.concurrent.TimeUnit.MILLISECONDS);
-        }
-
-        private void check(ChannelHandlerContext ctx) {
-            if (!ctx.channel().isActive()) {
-                return;
-            }
-            boolean streams = ctx.pipeline().get(io.netty.handler.codec.http2.Http2FrameCodec.class).connection()
-                    .numActiveStreams() > 0;
-            if (!streams && !streamsBefore) {
-                ctx.close();
-                return;
-            }
-            streamsBefore = streams;
-            handlerAdded(ctx);
+            pipeline.addLast(new IdleStreams(bounds.idle));
         }
     }
 
