GatewayTest: answers and refusals of pipelined messages come in turn (failing)

The tests force the order: the first message is forwarded before the second is written.

All fail on: 408, 413 (by size, and by size under Expect: 100-continue), 431 and 400 of the second message come in place of the first one's answer; 100 Continue of the second comes before the first one's answer; of three messages read before a stop, two are closed over without an answer; a message behind `connection: close` is taken (3 instead of 2).

--- a/gateway/src/test/java/gradereach/serve/GatewayTest.java
+++ b/gateway/src/test/java/gradereach/serve/GatewayTest.java
@@ -234,6 +234,105 @@
         }
     }
 
+    /** Guards against refusing a message that came whole as too slow, in place of the answer that is still worked on. */
+    @Test
+    void aPipelinedMessageIsNotSlowWhileAnEarlierOneIsWorkedOn() throws Exception {
+        ask("warm", "look-1", 5);
+        try (Socket socket = open()) {
+            write(socket, head("p0", body("look-1", 600)), body("look-1", 600));
+            until(() -> gateway.counts().value("forwards_sent") == 2);
+            write(socket, head("p1", body("look-1", 2)), body("look-1", 2));
+            for (int i = 0; i < 2; i++) {
+                assertEquals("p" + i, read(socket).body.at("/data/id").asText());
+            }
+        }
+    }
+
+    /** Guards against a refusal of a later message that overtakes an earlier one's answer, or ends its connection. */
+    @ParameterizedTest
+    @CsvSource({"slow, 408, too-slow", "large, 413, body-too-large", "expected, 413, body-too-large", "head, 431, head-too-large",
+        "protocol, 400, bad-http"})
+    void refusalsOfPipelinedMessagesComeInTurn(String what, int status, String word) throws Exception {
+        ask("warm", "look-1", 5);
+        byte[] body = body("look-1", 2);
+        byte[] large = new byte[5000];
+        try (Socket socket = open()) {
+            write(socket, head("p0", body("look-1", 600)), body("look-1", 600));
+            until(() -> gateway.counts().value("forwards_sent") == 2);
+            switch (what) {
+                case "slow" -> write(socket, head("p1", body), new byte[] {'{'});
+                case "large" -> write(socket, head("p1", large), large);
+                case "expected" -> write(socket, head("p1", large, "expect: 100-continue\r\n"), new byte[0]);
+                case "head" -> write(socket, head("p1", body, "x: " + "l".repeat(3000) + "\r\n"), body);
+                default -> write(socket, "no protocol at all\r\n\r\n", body);
+            }
+            assertEquals("p0", read(socket).body.at("/data/id").asText());
+            Answer refusal = read(socket);
+            assertEquals(status, refusal.status);
+            assertEquals(word, refusal.body.path("outcome").asText());
+            assertEquals(-1, socket.getInputStream().read());
+        }
+        assertEquals(2, gateway.counts().value("inferences_taken"));
+    }
+
+    /** Guards against an interim response that a client would take for one to its earlier message. */
+    @Test
+    void aPipelinedMessageIsToldToContinueInTurn() throws Exception {
+        ask("warm", "look-1", 5);
+        byte[] body = body("look-1", 2);
+        try (Socket socket = open()) {
+            write(socket, head("p0", body("look-1", 600)), body("look-1", 600));
+            until(() -> gateway.counts().value("forwards_sent") == 2);
+            write(socket, head("p1", body, "expect: 100-continue\r\n"), new byte[0]);
+            assertEquals("p0", read(socket).body.at("/data/id").asText());
+            assertEquals("HTTP/1.1 100 Continue\r\n", new String(socket.getInputStream().readNBytes(23), StandardCharsets.US_ASCII));
+            socket.getInputStream().readNBytes(2);
+            write(socket, "", body);
+            assertEquals("p1", read(socket).body.at("/data/id").asText());
+        }
+    }
+
+    /** Guards against closing a connection, as the front end stops, over messages that were read from it. */
+    @Test
+    void whatWasPipelinedBeforeAStopIsAnswered() throws Exception {
+        ask("warm", "look-1", 5);
+        byte[] first = body("look-1", 400);
+        byte[] later = body("look-1", 2);
+        try (Socket socket = open()) {
+            write(socket, head("p0", first) + new String(first, StandardCharsets.UTF_8) + head("p1", later)
+                    + new String(later, StandardCharsets.UTF_8) + head("p2", later), later);
+            until(() -> gateway.counts().value("forwards_sent") == 2);
+            CompletableFuture<Boolean> stopped = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return gateway.stop();
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            assertEquals(200, read(socket).status);
+            for (int i = 1; i < 3; i++) {
+                Answer shed = read(socket);
+                assertEquals(503, shed.status);
+                assertEquals(i == 2, shed.head.toLowerCase().contains("connection: close"));
+            }
+            assertEquals(-1, socket.getInputStream().read());
+            assertTrue(stopped.get());
+        }
+    }
+
+    /** Guards against working on a message behind the one with which its client said that it closes (RFC 9112, 9.6). */
+    @Test
+    void nothingIsTakenBehindTheLastMessageOfAConnection() throws Exception {
+        byte[] body = body("look-1", 5);
+        try (Socket socket = open()) {
+            write(socket, head("p0", body, "connection: close\r\n") + new String(body, StandardCharsets.UTF_8) + head("p1", body), body);
+            assertEquals("p0", read(socket).body.at("/data/id").asText());
+            assertEquals(-1, socket.getInputStream().read());
+        }
+        ask("after", "look-1", 5);
+        assertEquals(2, gateway.counts().value("inferences_taken"));
+    }
+
     @Test
     void theSameMessageIsOneInferenceOverAllConnections() throws Exception {
         ask("warm", "book-1", 5);
