Pipelined messages are timed by what they take to come, and refused in their turn

What callers saw: a client that pipelines behind an inference of `message_ms` or longer got 408 too-slow in the first one's place and lost its answer.

Cause: MessageClock was told that a message is whole only when OneAtATime let it through, after the answer before; and OneAtATime stood behind the aggregator, so 408 and 413 went around it, and an answer that closes let the next message through to a connection about to be closed.

Fix: HttpPipeliningHandler right behind the codec holds parts of messages, interim responses and refusals till their turn, and tells the clock of a message's end as it is read. At a stop each message that came whole is answered, the last with `connection: close`. A message that waits for 100 Continue is not timed until it is told so.

--- a/gateway/src/main/java/gradereach/front/MessageHandler.java
+++ b/gateway/src/main/java/gradereach/front/MessageHandler.java
@@ -7,6 +7,7 @@
 import gradereach.desk.Life;
 import gradereach.intake.Intake;
 import gradereach.intake.Waiter;
+import gradereach.loop.UnreadBytes;
 import gradereach.message.BadMessage;
 import gradereach.message.FinalAnswer;
 import gradereach.message.InferenceMessage;
@@ -42,17 +43,20 @@
     private final Intake intake;
     private final Outbox outbox;
     private final MessageClock messageClock;
+    /** Null on an HTTP/2 stream, which has one message. */
+    private final HttpPipeliningHandler pipelining;
     private Waiting waiting;
 
-    MessageHandler(Intake intake, Outbox outbox, MessageClock messageClock) {
+    MessageHandler(Intake intake, Outbox outbox, MessageClock messageClock, HttpPipeliningHandler pipelining) {
         this.intake = intake;
         this.outbox = outbox;
         this.messageClock = messageClock;
+        this.pipelining = pipelining;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-        double arrivedAt = messageClock.whole();
+        double arrivedAt = pipelining == null ? messageClock.whole() : pipelining.arrivedAt();
         boolean keepAlive = HttpUtil.isKeepAlive(request);
         if (!request.decoderResult().isSuccess()) {
             boolean long_ = String.valueOf(request.decoderResult().cause()).contains("TooLong");
@@ -183,11 +187,12 @@
     }
 
     private void send(ChannelHandlerContext ctx, FullHttpResponse response, boolean keepAlive) {
-        boolean open = keepAlive && !intake.stopping();
+        boolean open = keepAlive && (!intake.stopping() || anotherWaits(ctx));
+        messageClock.answered();
         if (!open) {
             response.headers().set(HttpHeaderNames.CONNECTION, "close");
+            messageClock.stop();
         }
-        messageClock.answered();
         ctx.writeAndFlush(response).addListener(write -> {
             if (!open || !write.isSuccess()) {
                 ctx.close();
@@ -195,6 +200,15 @@
         });
     }
 
+    /** Whether the client's next message has come whole: it gets an answer of its own before the connection ends. */
+    private boolean anotherWaits(ChannelHandlerContext ctx) {
+        if (pipelining == null) {
+            return false;
+        }
+        UnreadBytes.read(ctx.channel());
+        return pipelining.holdsMessage();
+    }
+
     /** A connection that waits for one answer. */
     private final class Waiting extends Waiter {
         private final ChannelHandlerContext ctx;
--- a/gateway/src/main/java/gradereach/front/WebhookFront.java
+++ b/gateway/src/main/java/gradereach/front/WebhookFront.java
@@ -19,6 +19,8 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
 import io.netty.handler.codec.http2.Http2Error;
@@ -119,9 +121,10 @@
         private void http1(ChannelPipeline pipeline) {
             pipeline.addLast(new HttpServerCodec(new HttpDecoderConfig().setMaxInitialLineLength(4096)
                     .setMaxHeaderSize(bounds.headBytes)));
+            HttpPipeliningHandler pipelining = new HttpPipeliningHandler(clock, bounds.bodyBytes);
+            pipeline.addLast(pipelining);
             pipeline.addLast(new Whole(bounds.bodyBytes));
-            pipeline.addLast(new OneAtATime());
-            pipeline.addLast(new MessageHandler(intake, outbox, clock));
+            pipeline.addLast(new MessageHandler(intake, outbox, clock, pipelining));
         }
 
         private void http2(ChannelPipeline pipeline) {
@@ -142,7 +145,7 @@
                     stream.pipeline().addLast(streamClock);
                     stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true));
                     stream.pipeline().addLast(new Whole(bounds.bodyBytes));
-                    stream.pipeline().addLast(new MessageHandler(intake, outbox, streamClock));
+                    stream.pipeline().addLast(new MessageHandler(intake, outbox, streamClock, null));
                 }
             }));
             pipeline.addLast(new IdleStreams(bounds.idle));
@@ -155,6 +158,14 @@
             super(most, true);
         }
 
+        /** Refusals are the handler's to write, in their turn: only the leave to go on is given here. */
+        @Override
+        protected Object newContinueResponse(HttpMessage start, int most, ChannelPipeline pipeline) {
+            Object response = super.newContinueResponse(start, most, pipeline);
+            boolean goesOn = response instanceof HttpResponse interim && interim.status().equals(HttpResponseStatus.CONTINUE);
+            return goesOn ? response : null;
+        }
+
         @Override
         protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
             ctx.fireExceptionCaught(new TooLongFrameException("body"));
--- a/gateway/src/test/java/gradereach/serve/GatewayTest.java
+++ b/gateway/src/test/java/gradereach/serve/GatewayTest.java
@@ -234,16 +234,26 @@
         }
     }
 
+    /** A message of another model than those behind it: what it takes tells nothing of theirs. */
+    private void beginLongOne(Socket socket) throws Exception {
+        ask("warm", "look-1", 5);
+        ask("warm-too", "book-1", 5);
+        write(socket, head("p0", body("book-1", 600)), body("book-1", 600));
+        until(() -> gateway.counts().value("forwards_sent") == 3);
+    }
+
+    private static void assertReturned(String id, Answer answer) {
+        assertEquals(id, answer.body.at("/data/id").asText(), answer.toString());
+    }
+
     /** Guards against refusing a message that came whole as too slow, in place of the answer that is still worked on. */
     @Test
     void aPipelinedMessageIsNotSlowWhileAnEarlierOneIsWorkedOn() throws Exception {
-        ask("warm", "look-1", 5);
         try (Socket socket = open()) {
-            write(socket, head("p0", body("look-1", 600)), body("look-1", 600));
-            until(() -> gateway.counts().value("forwards_sent") == 2);
+            beginLongOne(socket);
             write(socket, head("p1", body("look-1", 2)), body("look-1", 2));
             for (int i = 0; i < 2; i++) {
-                assertEquals("p" + i, read(socket).body.at("/data/id").asText());
+                assertReturned("p" + i, read(socket));
             }
         }
     }
@@ -253,12 +263,10 @@
     @CsvSource({"slow, 408, too-slow", "large, 413, body-too-large", "expected, 413, body-too-large", "head, 431, head-too-large",
         "protocol, 400, bad-http"})
     void refusalsOfPipelinedMessagesComeInTurn(String what, int status, String word) throws Exception {
-        ask("warm", "look-1", 5);
         byte[] body = body("look-1", 2);
         byte[] large = new byte[5000];
         try (Socket socket = open()) {
-            write(socket, head("p0", body("look-1", 600)), body("look-1", 600));
-            until(() -> gateway.counts().value("forwards_sent") == 2);
+            beginLongOne(socket);
             switch (what) {
                 case "slow" -> write(socket, head("p1", body), new byte[] {'{'});
                 case "large" -> write(socket, head("p1", large), large);
@@ -266,29 +274,27 @@
                 case "head" -> write(socket, head("p1", body, "x: " + "l".repeat(3000) + "\r\n"), body);
                 default -> write(socket, "no protocol at all\r\n\r\n", body);
             }
-            assertEquals("p0", read(socket).body.at("/data/id").asText());
+            assertReturned("p0", read(socket));
             Answer refusal = read(socket);
             assertEquals(status, refusal.status);
             assertEquals(word, refusal.body.path("outcome").asText());
             assertEquals(-1, socket.getInputStream().read());
         }
-        assertEquals(2, gateway.counts().value("inferences_taken"));
+        assertEquals(3, gateway.counts().value("inferences_taken"));
     }
 
     /** Guards against an interim response that a client would take for one to its earlier message. */
     @Test
     void aPipelinedMessageIsToldToContinueInTurn() throws Exception {
-        ask("warm", "look-1", 5);
         byte[] body = body("look-1", 2);
         try (Socket socket = open()) {
-            write(socket, head("p0", body("look-1", 600)), body("look-1", 600));
-            until(() -> gateway.counts().value("forwards_sent") == 2);
+            beginLongOne(socket);
             write(socket, head("p1", body, "expect: 100-continue\r\n"), new byte[0]);
-            assertEquals("p0", read(socket).body.at("/data/id").asText());
+            assertReturned("p0", read(socket));
             assertEquals("HTTP/1.1 100 Continue\r\n", new String(socket.getInputStream().readNBytes(23), StandardCharsets.US_ASCII));
             socket.getInputStream().readNBytes(2);
             write(socket, "", body);
-            assertEquals("p1", read(socket).body.at("/data/id").asText());
+            assertReturned("p1", read(socket));
         }
     }
 
@@ -326,7 +332,7 @@
         byte[] body = body("look-1", 5);
         try (Socket socket = open()) {
             write(socket, head("p0", body, "connection: close\r\n") + new String(body, StandardCharsets.UTF_8) + head("p1", body), body);
-            assertEquals("p0", read(socket).body.at("/data/id").asText());
+            assertReturned("p0", read(socket));
             assertEquals(-1, socket.getInputStream().read());
         }
         ask("after", "look-1", 5);
