--- a/client/src/test/java/gradereach/client/GradereachClientTest.java
+++ b/client/src/test/java/gradereach/client/GradereachClientTest.java
@@ -120,6 +120,29 @@
         assertTrue(runs.values().stream().allMatch(n -> n == 1), "twice");
     }
 
+    /**
+     * Guards against an inference that ends as shed by a front end that is stopping, for want of retries or for the pause
+     * which that front end asks for, while another one serves. The stop stands still between its first step and the
+     * closing of the listener.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"webhooks", "grpc"})
+    void whatAStoppingFrontEndShedsGoesToAnother(String way) throws Exception {
+        try (StoppingFrontEnd stopping = new StoppingFrontEnd(Deployment.of(fleet.plan("fe-stopping", secret), folder));
+                GradereachClient client = client(way, List.of(stopping.address(way), addresses.get(way).get(0)))) {
+            ask(client, way, "book-1", 1, Effect.ONCE, 8000).get();
+            List<CompletableFuture<?>> all = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                all.add(ask(client, way, "book-1", 1, Effect.ONCE, 1500));
+            }
+            for (CompletableFuture<?> one : all) {
+                one.get();
+            }
+            assertTrue(stopping.shed() > 10, stopping.shed() + " shed");
+        }
+        assertEquals(61, fleet.runs().size());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"webhooks", "grpc"})
     void whatCannotBeAnInferenceIsNotRepeatedAndADeadlineEndsAll(String way) throws Exception {
