A stopping front end says so by gRPC as well, and the client leaves it

What callers saw: `SHED: UNAVAILABLE this front end is stopping` after one try and under 3 s of 20 s, though another front end served (GradereachClientTest#inferencesOutliveAFrontEndThatGoes, gRPC). Cause: GrpcWay.end always said leaving=false, since the gRPC front had no word for what the webhook front says by `Connection: close`. So the client went back to the stopping front end in turn, and each refusal cost a token of its retry budget of ten; the eleventh was told to the caller.

Fix: what is not returned by a front end that stops has the trailer `gradereach-stopping` (in streams a parameter), and the client takes a shed one with it as it takes `Connection: close`: that front end is left alone, and no token is spent.

--- a/client/src/main/java/gradereach/client/GrpcWay.java
+++ b/client/src/main/java/gradereach/client/GrpcWay.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * Unary calls of the Open Inference Protocol's gRPC service, signed in metadata, and streamed calls of one inference, signed in
@@ -33,6 +34,7 @@
     private static final Metadata.Key<String> PUSHBACK = key("grpc-retry-pushback-ms");
     private static final Metadata.Key<String> OUTCOME = key("gradereach-outcome");
     private static final Metadata.Key<String> HARMLESS = key("gradereach-repeat-harmless");
+    private static final Metadata.Key<String> STOPPING = key("gradereach-stopping");
     private final Map<String, ManagedChannel> channels = new ConcurrentHashMap<>();
     private final WebhookKey signer;
 
@@ -100,8 +102,7 @@
             public void onMessage(ModelStreamInferResponse message) {
                 ModelInferResponse told = message.getInferResponse();
                 if (!message.getErrorMessage().isEmpty()) {
-                    end = end(parameter(told, "grpc-status"), message.getErrorMessage(), parameter(told, OUTCOME.name()),
-                            parameter(told, HARMLESS.name()), parameter(told, PUSHBACK.name()), true);
+                    end = end(parameter(told, "grpc-status"), message.getErrorMessage(), name -> parameter(told, name.name()), true);
                 } else if (told.containsParameters(FINAL)) {
                     end = End.returned(told);
                 } else {
@@ -153,16 +154,19 @@
     /** Statuses without our trailers come from the library or from something between: what is no proof is none. */
     private static End end(Status status, Metadata trailers, boolean leftUs) {
         Metadata told = trailers == null ? new Metadata() : trailers;
-        return end(status.getCode().name(), status.getDescription(), told.get(OUTCOME), told.get(HARMLESS), told.get(PUSHBACK),
-                leftUs);
+        return end(status.getCode().name(), status.getDescription(), told::get, leftUs);
     }
 
-    private static End end(String code, String sentence, String outcome, String harmless, String pause, boolean leftUs) {
+    /** @param told what the front end says beside the status, null for what it does not */
+    private static End end(String code, String sentence, Function<Metadata.Key<String>, String> told, boolean leftUs) {
         String why = code + " " + sentence;
+        String outcome = told.apply(OUTCOME);
         if (outcome != null) {
-            return new End(outcome.equals("shed") ? End.Kind.SHED : End.Kind.FAILED,
-                    pause != null && pause.matches("\\d{1,8}") ? Long.parseLong(pause) : 0,
-                    Boolean.parseBoolean(harmless), false, null, why);
+            End.Kind kind = outcome.equals("shed") ? End.Kind.SHED : End.Kind.FAILED;
+            String pause = told.apply(PUSHBACK);
+            return new End(kind, pause != null && pause.matches("\\d{1,8}") ? Long.parseLong(pause) : 0,
+                    Boolean.parseBoolean(told.apply(HARMLESS)),
+                    kind == End.Kind.SHED && Boolean.parseBoolean(told.apply(STOPPING)), null, why);
         }
         return switch (String.valueOf(code)) {
             case "INVALID_ARGUMENT", "UNAUTHENTICATED", "NOT_FOUND", "ALREADY_EXISTS", "RESOURCE_EXHAUSTED", "UNIMPLEMENTED" ->
--- a/gateway/src/main/java/gradereach/grpcfront/InferCalls.java
+++ b/gateway/src/main/java/gradereach/grpcfront/InferCalls.java
@@ -243,7 +243,7 @@
                     return; // its client has gone
                 }
                 if (answer.kind() != FinalAnswer.Kind.RETURNED) {
-                    to.onError(Statuses.of(answer));
+                    to.onError(Statuses.of(answer, intake.stopping()));
                     return;
                 }
                 try {
--- a/gateway/src/main/java/gradereach/grpcfront/Statuses.java
+++ b/gateway/src/main/java/gradereach/grpcfront/Statuses.java
@@ -20,6 +20,9 @@
     static final Metadata.Key<String> HARMLESS = Metadata.Key.of("gradereach-repeat-harmless",
             Metadata.ASCII_STRING_MARSHALLER);
 
+    /** The front end takes nothing more: another one may. As {@code connection: close} of the webhook front. */
+    static final Metadata.Key<String> STOPPING = Metadata.Key.of("gradereach-stopping", Metadata.ASCII_STRING_MARSHALLER);
+
     private Statuses() { }
 
     /** Of an answer that is not a returned one. */
@@ -48,6 +51,15 @@
         return StatusProto.toStatusRuntimeException(status.build(), trailers);
     }
 
+    /** The same from a front end that may be {@code stopping}. */
+    static StatusRuntimeException of(FinalAnswer answer, boolean stopping) {
+        StatusRuntimeException status = of(answer);
+        if (stopping) {
+            status.getTrailers().put(STOPPING, "true");
+        }
+        return status;
+    }
+
     /** Of what is no inference, by the HTTP status that the webhook front has for it. */
     static Status refusal(int status, String word, String why) {
         Status base = switch (status) {
--- a/gateway/src/main/java/gradereach/grpcfront/StreamCall.java
+++ b/gateway/src/main/java/gradereach/grpcfront/StreamCall.java
@@ -308,7 +308,7 @@
 
         private void told(FinalAnswer answer) {
             if (answer.kind() != FinalAnswer.Kind.RETURNED) {
-                error(Statuses.of(answer));
+                error(Statuses.of(answer, intake.stopping()));
                 return;
             }
             try {
@@ -352,6 +352,7 @@
                 parameter(beside, Statuses.OUTCOME.name(), why.getTrailers().get(Statuses.OUTCOME));
                 parameter(beside, Statuses.HARMLESS.name(), why.getTrailers().get(Statuses.HARMLESS));
                 parameter(beside, Statuses.PUSHBACK.name(), why.getTrailers().get(Statuses.PUSHBACK));
+                parameter(beside, Statuses.STOPPING.name(), why.getTrailers().get(Statuses.STOPPING));
             }
             tell(this, ModelStreamInferResponse.newBuilder().setErrorMessage(String.valueOf(why.getStatus().getDescription()))
                     .setInferResponse(beside).build());
