Client: no pause before another front end is asked, where the one that asked for it stops

What callers saw: an inference with less time than the pause of a stopping front end (2 s by default) ended as shed, by webhooks and by gRPC, though another front end served. Cause: Repeats.after waited for the pause of a front end that it would not ask again. Fix: a pause counts where the front end stays. The front end itself is left alone by FrontList, as before.

The new test warms up by a client of its own now: its first ask met the stopping front end at times, which then had nothing more to shed.

--- a/client/src/main/java/gradereach/client/Repeats.java
+++ b/client/src/main/java/gradereach/client/Repeats.java
@@ -5,7 +5,7 @@
 
 /**
  * Whether and when an inference is asked again, under the same id: state and decisions, no I/O. It is asked again only
- * where that is harmless, within its deadline, not before the pause that the front end asked for, and within the
+ * where that is harmless, within its deadline, not before the pause that a front end asked for which stays, and within the
  * client's {@link Purse}.
  */
 final class Repeats {
@@ -42,8 +42,10 @@
         }
         // Full jitter: waits of clients that failed together spread over the whole of it.
         double wait = chance.nextDouble() * Math.min(LONGEST_WAIT, FIRST_WAIT * Math.pow(2, Math.min(20, tries++)));
-        // What all were asked to wait is stretched, or all would come back together.
-        wait += end.pause() * (1 + chance.nextDouble() / 4);
+        if (!end.leaving()) {
+            // What all were asked to wait is stretched, or all would come back together.
+            wait += end.pause() * (1 + chance.nextDouble() / 4);
+        } // else it was asked for by a front end that is not asked again
         if (now + wait + SHORTEST_TRY > deadline) {
             return Double.NaN;
         }
--- a/client/src/test/java/gradereach/client/GradereachClientTest.java
+++ b/client/src/test/java/gradereach/client/GradereachClientTest.java
@@ -128,9 +128,12 @@
     @ParameterizedTest
     @ValueSource(strings = {"webhooks", "grpc"})
     void whatAStoppingFrontEndShedsGoesToAnother(String way) throws Exception {
+        List<String> serving = addresses.get(way).subList(0, 1);
+        try (GradereachClient warmUp = client(way, serving)) {
+            ask(warmUp, way, "book-1", 1, Effect.ONCE, 8000).get();
+        }
         try (StoppingFrontEnd stopping = new StoppingFrontEnd(Deployment.of(fleet.plan("fe-stopping", secret), folder));
-                GradereachClient client = client(way, List.of(stopping.address(way), addresses.get(way).get(0)))) {
-            ask(client, way, "book-1", 1, Effect.ONCE, 8000).get();
+                GradereachClient client = client(way, List.of(stopping.address(way), serving.get(0)))) {
             List<CompletableFuture<?>> all = new ArrayList<>();
             for (int i = 0; i < 60; i++) {
                 all.add(ask(client, way, "book-1", 1, Effect.ONCE, 1500));
