FaultShim records connections; the auditor judges ends and drains by them

The shim records each TCP connection of a front end as it comes up, is broken by a fault, and is closed, with the bytes read of it. A request whose connection ended unanswered is excused where its front end had read nothing of it as it closed, within the protocol's 50 ms; of what was read, nothing is excused. Load orders are judged by the front end whose requests come on the same connection. What is allowed for is counted in the report.

RequestAuditorTest.aRequestThatCrossesTheEndOfItsConnectionWasNotRead held the excuse of 10 ms; it is replaced by rows that hold what was read and when: a read request is never excused, an unread one by the protocol's bound.

--- a/rehearsal/src/main/java/gradereach/rehearsal/soak/FrontEndProcess.java
+++ b/rehearsal/src/main/java/gradereach/rehearsal/soak/FrontEndProcess.java
@@ -1,5 +1,6 @@
 package gradereach.rehearsal.soak;
 
+import gradereach.standins.faults.ConnectionEvent;
 import gradereach.standins.faults.FaultShim;
 import gradereach.standins.faults.SystemFault;
 import java.io.BufferedReader;
@@ -51,9 +52,7 @@
         counts = Path.of(config + ".faults");
         ProcessBuilder start = new ProcessBuilder(command).redirectErrorStream(true);
         start.environment().put("EDGE_CONFIG", config.toString());
-        if (!faults.isEmpty()) {
-            shim.load(start, faults, seed, counts);
-        }
+        shim.load(start, faults, seed, counts); // without a fault as well: it records the connections
         process = start.start();
         CompletableFuture<InetSocketAddress> listening = new CompletableFuture<>();
         Thread reader = new Thread(() -> read(listening), "log of " + config.getFileName());
@@ -130,6 +129,11 @@
         return FaultShim.met(counts, faults);
     }
 
+    /** What became of its connections. */
+    public List<ConnectionEvent> connectionEvents() throws IOException {
+        return FaultShim.connectionEvents(counts);
+    }
+
     @Override
     public void close() {
         told = true;
--- a/rehearsal/src/main/java/gradereach/rehearsal/soak/Soak.java
+++ b/rehearsal/src/main/java/gradereach/rehearsal/soak/Soak.java
@@ -4,6 +4,7 @@
 import gradereach.standins.faults.SystemFault;
 import gradereach.standins.frames.ChangelogServer;
 import gradereach.standins.frames.FrameExecutor;
+import gradereach.standins.frames.FrontEndRecord;
 import gradereach.standins.frames.Outage;
 import gradereach.standins.frames.PeerLoops;
 import gradereach.standins.frames.RequestAuditor;
@@ -121,10 +122,13 @@
                 crashes.add(crash);
             }
             countFaults(node);
+            auditor.recorded(node.process().address, new FrontEndRecord(node.process().connectionEvents(), loops, changelog.ports(),
+                    changelog.asked()));
         }
         double served = auditor.served(time -> time >= from && time < asked && !inOutage(time));
-        return new SoakReport(auditor.requests(), served, auditor.served(this::inOutage), auditor.findings(asked), List.copyOf(crashes),
-                new TreeMap<>(played), systemFaults(), loops.longestLag());
+        List<RequestAuditor.Finding> findings = auditor.findings(asked);
+        return new SoakReport(auditor.requests(), served, auditor.served(this::inOutage), findings, auditor.allowed(),
+                List.copyOf(crashes), new TreeMap<>(played), systemFaults(), loops.longestLag());
     }
 
     private boolean inOutage(double time) {
@@ -253,7 +257,8 @@
         script(() -> {
             executor.drain();
             auditor.drains(executor.instance, changelog.toldAt(loops.now()));
-            changelog.tell(ChangelogServer.instance(executor.instance, executor.address, "draining"), false);
+            auditor.drainTold(executor.instance, changelog.tell(ChangelogServer.instance(executor.instance, executor.address,
+                    "draining"), false));
             Thread.sleep(stays);
             executor.stop();
             changelog.tell(ChangelogServer.instance(executor.instance, executor.address, "gone"), false);
--- a/rehearsal/src/main/java/gradereach/rehearsal/soak/SoakReport.java
+++ b/rehearsal/src/main/java/gradereach/rehearsal/soak/SoakReport.java
@@ -1,5 +1,6 @@
 package gradereach.rehearsal.soak;
 
+import gradereach.standins.frames.RequestAuditor.Allowance;
 import gradereach.standins.frames.RequestAuditor.Finding;
 import java.util.List;
 import java.util.Map;
@@ -13,13 +14,14 @@
  * @param served the share of them that was answered with success, of those asked while the change log was within reach
  * @param servedInOutages the same of those asked while it was not; NaN without an outage
  * @param breaches of the rules, as the peers saw them
+ * @param allowed what looked like a breach and was none, by what system calls show
  * @param crashes front ends that did not start, or ended when nobody had told them to
  * @param played how often each trouble was met; of system calls, each failed one counts
  * @param systemFaults what each front end's system calls were to meet, by its address
  * @param peersLate by how many milliseconds the peers were late themselves at worst: times are wrong by as much
  */
-public record SoakReport(int requests, double served, double servedInOutages, List<Finding> breaches, List<String> crashes,
-        Map<Trouble, Long> played, Map<String, String> systemFaults, double peersLate) {
+public record SoakReport(int requests, double served, double servedInOutages, List<Finding> breaches,
+        Map<Allowance, Integer> allowed, List<String> crashes, Map<Trouble, Long> played, Map<String, String> systemFaults, double peersLate) {
     private static final int SHOWN_OF_A_KIND = 5;
 
     /** Whether all rules were kept and no front end crashed. */
@@ -30,9 +32,9 @@
     /** One line, and one for each of the first breaches of a kind. */
     @Override
     public String toString() {
-        StringBuilder text = new StringBuilder("%d requests, served %.3f, in outages %.3f, %d breaches %s, %d crashes, peers late by %.0f ms; played %s".formatted(
+        StringBuilder text = new StringBuilder("%d requests, served %.3f, in outages %.3f, %d breaches %s, allowed %s, %d crashes, peers late by %.0f ms; played %s".formatted(
                 requests, served, servedInOutages, breaches.size(), breaches.stream().collect(Collectors.groupingBy(Finding::breach,
-                        TreeMap::new, Collectors.counting())), crashes.size(), peersLate, played));
+                        TreeMap::new, Collectors.counting())), allowed, crashes.size(), peersLate, played));
         crashes.forEach(crash -> text.append("\n  crash: ").append(crash));
         breaches.stream().collect(Collectors.groupingBy(Finding::breach, TreeMap::new, Collectors.toList()))
                 .forEach((breach, found) -> found.stream().limit(SHOWN_OF_A_KIND)
--- /dev/null
+++ b/standins/src/main/java/gradereach/standins/faults/ConnectionEvent.java
@@ -0,0 +1,24 @@
+package gradereach.standins.faults;
+
+/**
+ * One event of one TCP connection of a process, as {@link FaultShim} saw its system calls.
+ *
+ * @param nanos when, by {@link System#nanoTime} of this machine
+ * @param received bytes that the process had read of the connection
+ * @param unread bytes that the system still held for it
+ * @param error number of the error that broke it; 0 for other events
+ */
+public record ConnectionEvent(Kind kind, long nanos, int localPort, int remotePort, long received, int unread, int error) {
+    /** What happened; in the shim's order, from 1. */
+    public enum Kind {
+        /** The process has begun to connect. */
+        CONNECTED,
+        ACCEPTED,
+        /** A fault of the shim has ended it, for both sides. */
+        BROKEN,
+        /** The process sends nothing more. */
+        SHUT_DOWN,
+        /** The process has closed it, or has ended by itself. */
+        CLOSED
+    }
+}
--- a/standins/src/main/java/gradereach/standins/faults/FaultShim.java
+++ b/standins/src/main/java/gradereach/standins/faults/FaultShim.java
@@ -47,13 +47,23 @@
     /**
      * Has a process that is about to be started meet these faults.
      *
-     * @param counts a file in which each fault is counted as it is met
+     * @param counts a file in which each fault is counted as it is met; one beside it records the process's connections
      */
     public void load(ProcessBuilder process, List<SystemFault> faults, long seed, Path counts) {
         process.environment().put("LD_PRELOAD", library.toString());
         process.environment().put("GRADEREACH_FAULTS", faults.stream().map(SystemFault::rule).collect(Collectors.joining(";")));
         process.environment().put("GRADEREACH_FAULT_SEED", Long.toUnsignedString(seed));
         process.environment().put("GRADEREACH_FAULT_COUNTS", counts.toAbsolutePath().toString());
+        process.environment().put("GRADEREACH_FAULT_CONNECTIONS", connections(counts).toAbsolutePath().toString());
+    }
+
+    private static Path connections(Path counts) {
+        return counts.resolveSibling(counts.getFileName() + ".connections");
+    }
+
+    /** What became of the connections of the process that counts its faults there; none where it has not begun. */
+    public static List<ConnectionEvent> connectionEvents(Path counts) throws IOException {
+        return ConnectionRecords.read(connections(counts));
     }
 
     /** How often each of these faults was met, in their order; zeros where the process has not begun. */
--- a/standins/src/main/java/gradereach/standins/frames/ChangelogServer.java
+++ b/standins/src/main/java/gradereach/standins/frames/ChangelogServer.java
@@ -7,13 +7,17 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /** The change log of all front ends of a run. */
 public final class ChangelogServer {
@@ -29,10 +33,16 @@
     private volatile double silentAt = Double.NEGATIVE_INFINITY;
     private volatile double movedAt = Double.NEGATIVE_INFINITY;
     private final List<Channel> watches = new CopyOnWriteArrayList<>();
+    private final List<Asked> asked = new CopyOnWriteArrayList<>();
+    /** Bytes written to each watch that is open. */
+    private final Map<Channel, Long> written = new ConcurrentHashMap<>();
     private final Set<Channel> connections = ConcurrentHashMap.newKeySet();
     private final List<Channel> listeners = new ArrayList<>();
     private volatile Outage outage;
 
+    /** A front end has asked for what is missing, on a connection from that port. */
+    public record Asked(int port, double at) { }
+
     /** Listens on one port. */
     public ChangelogServer(PeerLoops loops) throws InterruptedException {
         this(loops, 1);
@@ -113,12 +123,31 @@
         return "{\"seq\":" + events.size() + ",\"results\":[" + String.join(",", events) + "]}";
     }
 
-    /** Tells an event, under the next number. */
-    public synchronized void tell(String instances, boolean whole) {
+    /** When it was asked for what is missing, by all front ends. */
+    public List<Asked> asked() {
+        return List.copyOf(asked);
+    }
+
+    /** The ports on which it listens. */
+    public Set<Integer> ports() {
+        return listeners.stream().map(PeerLoops::port).collect(Collectors.toSet());
+    }
+
+    /**
+     * Tells an event, under the next number. Returns how many bytes were written with it to each open watch, by the port from
+     * which the watch was connected.
+     */
+    public synchronized Map<Integer, Long> tell(String instances, boolean whole) {
         String event = "{\"seq\":" + (events.size() + 1) + ",\"fleet\":{\"generation\":1,\"reset\":" + whole
                 + ",\"instances\":[" + instances + "]}}";
         events.add(event);
-        watches.forEach(watch -> write(watch, event));
+        Map<Integer, Long> bytesByWatch = new HashMap<>();
+        watches.forEach(watch -> bytesByWatch.put(remotePort(watch), write(watch, event)));
+        return bytesByWatch;
+    }
+
+    private static int remotePort(Channel watch) {
+        return watch.remoteAddress() instanceof InetSocketAddress from ? from.getPort() : 0; // 0 once it has ended
     }
 
     /** A front end is told to go to another of its addresses. */
@@ -155,11 +184,18 @@
         }
         write(watch, events.size() + "");
         watches.add(watch);
-        watch.closeFuture().addListener(end -> watches.remove(watch));
+        watch.closeFuture().addListener(end -> {
+            watches.remove(watch);
+            written.remove(watch);
+        });
     }
 
-    private static void write(Channel watch, String line) {
-        watch.writeAndFlush(Unpooled.copiedBuffer(line + "\n", StandardCharsets.US_ASCII));
+    /** Returns how many bytes were written to the watch with this line. */
+    private long write(Channel watch, String line) {
+        ByteBuf bytes = Unpooled.copiedBuffer(line + "\n", StandardCharsets.US_ASCII);
+        long total = written.merge(watch, (long) bytes.readableBytes(), Long::sum);
+        watch.writeAndFlush(bytes);
+        return total;
     }
 
     private final class Watch extends SimpleChannelInboundHandler<ByteBuf> {
@@ -172,10 +208,11 @@
             if (end < 0) {
                 return; // it may come in pieces
             }
-            String asked = heard.substring(0, end).strip();
+            String line = heard.substring(0, end).strip();
             heard.delete(0, end + 1);
             if (outage == null) {
-                ChangelogServer.this.begin(ctx.channel(), Integer.parseInt(asked.substring(asked.indexOf(' ') + 1)));
+                asked.add(new Asked(remotePort(ctx.channel()), loops.now()));
+                ChangelogServer.this.begin(ctx.channel(), Integer.parseInt(line.substring(line.indexOf(' ') + 1)));
             }
         }
 
--- a/standins/src/main/java/gradereach/standins/frames/FrameExecutor.java
+++ b/standins/src/main/java/gradereach/standins/frames/FrameExecutor.java
@@ -99,8 +99,9 @@
         }
     }
 
-    private synchronized void request(Channel to, Frames.Command asked, double arrivedAt) {
+    private synchronized void request(Channel to, Frames.Command asked, double arrivedAt, RequestAuditor.Sender sender) {
         String name = "%016x".formatted(asked.id());
+        auditor.sentBy(sender, name);
         auditor.attempt(instance, name, arrivedAt, asked.number("patience", 0));
         if (loops.now() > drainsSince + TURNS_AWAY_AFTER) {
             to.writeAndFlush(Frames.of(Frames.FULL, asked.id(), ""));
@@ -140,6 +141,7 @@
         private double stoppedAt = Double.NaN;
         private double readAgainAt = Double.NaN;
         private int stops;
+        private final RequestAuditor.Sender sender = new RequestAuditor.Sender();
 
         private void stopReading(Channel connection, long millis) {
             stoppedAt = stops > 0 ? stoppedAt : loops.now();
@@ -174,12 +176,12 @@
 
         private void obey(ChannelHandlerContext ctx, Frames.Command command) {
             switch (command.code()) {
-                case Frames.REQUEST -> request(ctx.channel(), command, arrivedAt());
+                case Frames.REQUEST -> request(ctx.channel(), command, arrivedAt(), sender);
                 case Frames.REPORT -> ctx.writeAndFlush(drains() ? Frames.of(Frames.DRAINING, command.id(), "")
                         : Frames.of(Frames.READY, command.id(), "l=q:0;rif:1"));
                 case Frames.HOLD -> {
                     if (command.number("n", 0) > 0) {
-                        auditor.ordered(instance, arrivedAt());
+                        auditor.ordered(instance, arrivedAt(), sender);
                     }
                     ctx.writeAndFlush(Frames.of(Frames.RETURNED, command.id(), "n=1"));
                 }
--- a/standins/src/main/java/gradereach/standins/frames/PeerLoops.java
+++ b/standins/src/main/java/gradereach/standins/frames/PeerLoops.java
@@ -52,7 +52,12 @@
 
     /** Milliseconds on the monotonic clock, from the begin of the run. */
     public double now() {
-        return (System.nanoTime() - zero) / NANOS_PER_MILLI;
+        return timeOf(System.nanoTime());
+    }
+
+    /** The same of a reading of {@link System#nanoTime}, also of another process of this machine. */
+    double timeOf(long nanoTime) {
+        return (nanoTime - zero) / NANOS_PER_MILLI;
     }
 
     EventLoopGroup group() {
--- a/standins/src/main/java/gradereach/standins/frames/RequestAuditor.java
+++ b/standins/src/main/java/gradereach/standins/frames/RequestAuditor.java
@@ -1,6 +1,7 @@
 package gradereach.standins.frames;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,7 +19,17 @@
         /** A request whose repeats are not harmless was taken by executors twice. */
         DUPLICATE,
         /** An attempt was given more time than its client had left. */
-        LONG_DEADLINE
+        LONG_DEADLINE,
+        /** An attempt under an id that no client has asked. */
+        UNKNOWN_REQUEST
+    }
+
+    /** What looks like a breach, and by the system calls of its front end is none. */
+    public enum Allowance {
+        /** A request crossed the close of its connection, and nothing of it was read. */
+        CROSSED_CLOSE,
+        /** Sent to an executor that drains before that counted as told to a front end whose watch was broken by a fault. */
+        BROKEN_WATCH
     }
 
     /** One breach and what it was seen by. */
@@ -30,8 +41,6 @@
     private static final double LEAVING_SLACK = 100;
     /** By which the time that is passed on with an attempt may exceed what its client has left. */
     private static final double DEADLINE_SLACK = 150;
-    /** A request written so shortly before its connection's end was seen has crossed that end. */
-    private static final double CROSSING = 10;
     /** By which every limit is longer on sockets. */
     private static final double SOCKET_SLACK = 50;
 
@@ -41,6 +50,24 @@
     /** Within which a front end that goes on again reads and answers what lay there. */
     private static final double RECOVERY = 100;
 
+    /** Who writes on a connection to an executor: the front end whose requests came on it, null before the first. */
+    public static final class Sender {
+        private Object frontEnd;
+    }
+
+    /** Something that came to an executor after its grace, as far as its time alone tells. */
+    private record LateSend(String executor, String what, double at, Drain drain, Sender sender) { }
+
+    /** From when on an executor counts as draining, and what had been written to each watch with that. */
+    private static final class Drain {
+        private final double at;
+        private Map<Integer, Long> bytesByWatch = Map.of();
+
+        private Drain(double at) {
+            this.at = at;
+        }
+    }
+
     private static final class Request {
         private final Object frontEnd;
         private final double askedAt;
@@ -50,6 +77,7 @@
         private double leftAt = Double.POSITIVE_INFINITY;
         private double answeredAt = Double.POSITIVE_INFINITY;
         private double endedAt = Double.NaN;
+        private FrontEndRecord.UnansweredRequest unanswered;
         private boolean excused;
         private boolean succeeded;
         private final List<String> made = new ArrayList<>(1);
@@ -79,7 +107,10 @@
     private final double drainGrace;
     private final Map<String, Request> requests = new LinkedHashMap<>();
     private final List<Standstill> standstills = new ArrayList<>();
-    private final Map<String, Double> drains = new HashMap<>();
+    private final Map<String, Drain> drains = new HashMap<>();
+    private final List<LateSend> lateSends = new ArrayList<>();
+    private final Map<Object, FrontEndRecord> records = new HashMap<>();
+    private final Map<Allowance, Integer> allowed = new EnumMap<>(Allowance.class);
     private final List<Finding> findings = new ArrayList<>();
 
     /** @param drainGrace milliseconds within which requests may still go to an executor that drains */
@@ -120,11 +151,26 @@
         requests.get(id).leftAt = at;
     }
 
-    /** Its connection was ended by the front end while it waited. */
-    public synchronized void connectionEnded(String id, double at) {
+    /**
+     * Its connection was ended by the front end while it waited.
+     *
+     * @param clientPort from which the client had connected
+     * @param writtenBefore bytes that the client had written there before the request
+     */
+    public synchronized void connectionEnded(String id, double at, int clientPort, long writtenBefore) {
         Request request = requests.get(id);
         request.endedAt = at;
-        request.excused |= at - request.askedAt <= CROSSING;
+        request.unanswered = new FrontEndRecord.UnansweredRequest(clientPort, writtenBefore, request.askedAt, at);
+    }
+
+    /** What the system calls of a front end show; without it nothing is allowed for. */
+    public synchronized void recorded(Object frontEnd, FrontEndRecord shown) {
+        records.put(frontEnd, shown);
+    }
+
+    /** How often each allowance was made, when the findings were asked for last. */
+    public synchronized Map<Allowance, Integer> allowed() {
+        return new EnumMap<>(allowed);
     }
 
     /** Nothing is owed: its front end was killed, or closed a connection on which the request crossed the close. */
@@ -161,7 +207,8 @@
     public synchronized void attempt(String executor, String id, double at, double patience) {
         Request request = requests.get(id);
         if (request == null) {
-            return; // of another run
+            findings.add(new Finding(Breach.UNKNOWN_REQUEST, id + " on " + executor));
+            return;
         }
         double beyond = at + patience - (request.askedAt + request.budget);
         if (beyond > DEADLINE_SLACK + SOCKET_SLACK) {
@@ -172,7 +219,17 @@
             findings.add(new Finding(Breach.LATE_ATTEMPT, id + " at " + Math.round(at) + " on " + executor + ": "
                     + Math.round(at - request.over()) + " ms after its end; " + request + standstillsOf(request.frontEnd)));
         }
-        afterDrain(executor, "request " + id, at);
+        Sender sender = new Sender();
+        sender.frontEnd = request.frontEnd;
+        afterDrain(executor, "request " + id, at, sender);
+    }
+
+    /** A request has come on a connection to an executor: whatever comes on it is of the same front end. */
+    synchronized void sentBy(Sender sender, String id) {
+        Request request = requests.get(id);
+        if (request != null) {
+            sender.frontEnd = request.frontEnd;
+        }
     }
 
     /** An executor did not turn it away: it runs, or may have run. */
@@ -185,19 +242,33 @@
 
     /** A load order has arrived whole at an executor. */
     public synchronized void ordered(String executor, double at) {
-        afterDrain(executor, "load order", at);
+        ordered(executor, at, new Sender());
     }
 
-    private void afterDrain(String executor, String what, double at) {
-        double drained = drains.getOrDefault(executor, Double.POSITIVE_INFINITY);
-        if (at > drained + drainGrace + SOCKET_SLACK) {
-            findings.add(new Finding(Breach.AFTER_DRAIN, what + " to " + executor + ": " + Math.round(at - drained) + " ms after"));
+    /** The same from a {@code sender} whose front end may become known later. */
+    synchronized void ordered(String executor, double at, Sender sender) {
+        afterDrain(executor, "load order", at, sender);
+    }
+
+    private void afterDrain(String executor, String what, double at, Sender sender) {
+        Drain drain = drains.get(executor);
+        if (drain != null && isAfterGrace(at, drain.at)) {
+            lateSends.add(new LateSend(executor, what, at, drain, sender));
         }
     }
 
+    private boolean isAfterGrace(double at, double drainedAt) {
+        return at > drainedAt + drainGrace + SOCKET_SLACK;
+    }
+
     /** From then on it counts as told that the executor drains or has gone. */
     public synchronized void drains(String executor, double at) {
-        drains.put(executor, at);
+        drains.put(executor, new Drain(at));
+    }
+
+    /** The change log has told of it, and had written so many bytes with that to each watch, by the watch's port. */
+    public synchronized void drainTold(String executor, Map<Integer, Long> bytesByWatch) {
+        drains.get(executor).bytesByWatch = Map.copyOf(bytesByWatch);
     }
 
     /** It started anew and is ready again. */
@@ -229,13 +300,33 @@
                 .findAny().orElse("");
     }
 
+    private boolean isAllowed(LateSend send) {
+        FrontEndRecord shown = records.get(send.sender.frontEnd);
+        boolean inTime = shown != null && !isAfterGrace(send.at, shown.toldAt(send.drain.at, send.drain.bytesByWatch));
+        return inTime && allow(Allowance.BROKEN_WATCH);
+    }
+
+    private boolean crossedClose(Request request) {
+        FrontEndRecord shown = records.get(request.frontEnd);
+        boolean crossed = shown != null && request.unanswered != null && shown.crossedClose(request.unanswered);
+        return crossed && allow(Allowance.CROSSED_CLOSE);
+    }
+
+    private boolean allow(Allowance allowance) {
+        allowed.merge(allowance, 1, Integer::sum);
+        return true;
+    }
+
     /** All that was found, once nothing can come any more of what was asked {@code before}. */
     public synchronized List<Finding> findings(double before) {
         List<Finding> all = new ArrayList<>(findings);
+        allowed.clear();
+        lateSends.stream().filter(send -> !isAllowed(send)).forEach(send -> all.add(new Finding(Breach.AFTER_DRAIN, send.what
+                + " to " + send.executor + " by " + send.sender.frontEnd + ": " + Math.round(send.at - send.drain.at) + " ms after")));
         requests.forEach((id, request) -> {
             double latest = request.askedAt + request.budget + ANSWER_SLACK + SOCKET_SLACK;
             if (request.askedAt < before && !request.excused && !stoodStillAt(request.frontEnd, latest)
-                    && Math.min(request.leftAt, request.answeredAt) > latest) {
+                    && Math.min(request.leftAt, request.answeredAt) > latest && !crossedClose(request)) {
                 all.add(new Finding(Breach.NO_ANSWER, id + ": asked at " + Math.round(request.askedAt) + ", "
                         + (request.answeredAt < Double.POSITIVE_INFINITY
                         ? Math.round(request.answeredAt - latest) + " ms too late"
--- a/standins/src/main/java/gradereach/standins/frames/RequestClient.java
+++ b/standins/src/main/java/gradereach/standins/frames/RequestClient.java
@@ -97,9 +97,14 @@
         /** Of the request that waits for its answer; null where none does. */
         private String id;
         private final StringBuilder heard = new StringBuilder();
+        private int port;
+        /** Bytes of all requests but the latest, and of all. */
+        private long writtenBefore;
+        private long written;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            port = ((InetSocketAddress) ctx.channel().localAddress()).getPort();
             ask(ctx);
         }
 
@@ -115,10 +120,13 @@
             String body = "for " + now + "x".repeat(chance.nextInt(LONG_BODIES) == 0 ? LONG_BODY : SHORT_BODY);
             boolean repeatable = chance.nextBoolean();
             auditor.asked(now, frontEnd, loops.now(), budget, repeatable);
-            ctx.writeAndFlush(Unpooled.copiedBuffer("POST /v1/" + "%016x".formatted(chance.nextInt(MODELS) + 1)
+            ByteBuf request = Unpooled.copiedBuffer("POST /v1/" + "%016x".formatted(chance.nextInt(MODELS) + 1)
                     + "/fire HTTP/1.1\r\nHost: app.svc\r\nX-Class: " + (repeatable ? "look" : "book") + "\r\nRequest-Id: " + now
                     + "\r\nBudget-Ms: " + budget + "\r\nAccount: yard\r\nX-Attrs: memory_mb:10;lanes:2;load_ms:20\r\nContent-Length: "
-                    + body.length() + "\r\n\r\n" + body, StandardCharsets.US_ASCII));
+                    + body.length() + "\r\n\r\n" + body, StandardCharsets.US_ASCII);
+            writtenBefore = written;
+            written += request.readableBytes();
+            ctx.writeAndFlush(request);
             long patience = chance.nextInt(LEAVING) == 0 ? chance.nextInt(budget) : budget + WAITS_BEYOND;
             ctx.executor().schedule(() -> leave(ctx, now), patience, TimeUnit.MILLISECONDS);
         }
@@ -156,7 +164,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (id != null) {
-                auditor.connectionEnded(id, loops.now());
+                auditor.connectionEnded(id, loops.now(), port, writtenBefore);
                 id = null;
             }
             startLater();
--- a/standins/src/main/resources/gradereach/standins/faults/fault_shim.c
+++ b/standins/src/main/resources/gradereach/standins/faults/fault_shim.c
@@ -9,7 +9,8 @@
  *   RATE   probability for one call, 0 to 1
  *   FROM, TO  milliseconds since the process has loaded this, on the monotonic clock
  * GRADEREACH_FAULT_SEED seeds the draws. GRADEREACH_FAULT_COUNTS names a file in which each rule's faults are counted, as
- * one native 64-bit number a rule.
+ * one native 64-bit number a rule. GRADEREACH_FAULT_CONNECTIONS names a file in which TCP connections are recorded as they
+ * come up, are broken by a fault, and are closed: see struct record.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -23,6 +24,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -55,6 +57,37 @@
 /* Descriptors that this process has connected. */
 static _Atomic char connected[MOST_DESCRIPTORS];
 
+enum event { CONNECTED = 1, ACCEPTED, BROKEN, SHUT_DOWN, CLOSED };
+
+enum { MOST_RECORDS = 65536 };
+
+/* One event of one TCP connection; native byte order. */
+struct record {
+    int64_t nanos;    /* on the monotonic clock */
+    int64_t received; /* bytes that the process has read of it */
+    int32_t unread;   /* bytes that the system still holds for the process */
+    int32_t error;    /* of BROKEN */
+    uint16_t local_port;
+    uint16_t remote_port;
+    uint32_t event;
+};
+
+/* Counts every record that was to be made, also beyond the room for them. */
+struct records {
+    _Atomic int64_t count;
+    struct record all[MOST_RECORDS];
+};
+
+/* A TCP connection behind a descriptor; none where the remote port is 0. */
+struct connection {
+    _Atomic uint16_t remote_port;
+    uint16_t local_port;
+    _Atomic int64_t received;
+};
+
+static struct records *records;
+static struct connection connections[MOST_DESCRIPTORS];
+
 static int (*real_clock_gettime)(clockid_t, struct timespec *);
 
 #define REAL(name) \
@@ -69,6 +102,12 @@
     return now.tv_sec * 1000LL + now.tv_nsec / 1000000;
 }
 
+static int64_t nanoseconds(void) {
+    struct timespec now;
+    real_clock_gettime(CLOCK_MONOTONIC, &now);
+    return now.tv_sec * 1000000000LL + now.tv_nsec;
+}
+
 static uint64_t random_bits(void) {
     uint64_t z = seed + 0x9e3779b97f4a7c15ULL * (1 + atomic_fetch_add(&draws, 1));
     z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -104,6 +143,17 @@
     rule->to = atoll(to);
 }
 
+/* NULL where there is no such file, or it cannot be mapped. */
+static void *map_file(const char *file, size_t size) {
+    int fd = file == NULL ? -1 : open(file, O_RDWR | O_CREAT, 0600);
+    if (fd < 0) {
+        return NULL;
+    }
+    void *shared = ftruncate(fd, size) != 0 ? MAP_FAILED : mmap(NULL, size, PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    close(fd);
+    return shared == MAP_FAILED ? NULL : shared;
+}
+
 __attribute__((constructor)) static void load(void) {
     real_clock_gettime = (int (*)(clockid_t, struct timespec *)) dlsym(RTLD_NEXT, "clock_gettime");
     loaded_at = milliseconds();
@@ -119,16 +169,65 @@
         free(copy);
     }
     static _Atomic uint64_t none[MOST_RULES];
-    counts = none;
-    const char *file = getenv("GRADEREACH_FAULT_COUNTS");
-    int fd = file == NULL ? -1 : open(file, O_RDWR | O_CREAT, 0600);
-    if (fd >= 0) {
-        if (ftruncate(fd, MOST_RULES * sizeof(uint64_t)) == 0) {
-            void *shared = mmap(NULL, MOST_RULES * sizeof(uint64_t), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
-            counts = shared == MAP_FAILED ? none : shared;
-        }
-        close(fd);
+    records = map_file(getenv("GRADEREACH_FAULT_CONNECTIONS"), sizeof(struct records));
+    void *shared = map_file(getenv("GRADEREACH_FAULT_COUNTS"), MOST_RULES * sizeof(uint64_t));
+    counts = shared == NULL ? none : shared;
+}
+
+static void record(int fd, enum event event, int error) {
+    struct connection *connection = &connections[fd];
+    uint16_t remote_port = atomic_load(&connection->remote_port);
+    if (records == NULL || remote_port == 0) {
+        return;
     }
+    int unread = 0;
+    ioctl(fd, FIONREAD, &unread);
+    int64_t at = atomic_fetch_add(&records->count, 1);
+    if (at < MOST_RECORDS) {
+        records->all[at] = (struct record) {nanoseconds(), atomic_load(&connection->received), unread, error,
+            connection->local_port, remote_port, event};
+    }
+}
+
+static uint16_t port_of(const struct sockaddr_storage *address) {
+    return ntohs(address->ss_family == AF_INET6 ? ((const struct sockaddr_in6 *) address)->sin6_port
+        : ((const struct sockaddr_in *) address)->sin_port);
+}
+
+/* A connection has begun to be made, or has been accepted. */
+static void begin(int fd, uint16_t remote_port, enum event event) {
+    struct sockaddr_storage local = {0};
+    socklen_t length = sizeof local;
+    if (fd < 0 || fd >= MOST_DESCRIPTORS || getsockname(fd, (struct sockaddr *) &local, &length) != 0
+        || (local.ss_family != AF_INET && local.ss_family != AF_INET6)) {
+        return;
+    }
+    connections[fd].local_port = port_of(&local);
+    atomic_store(&connections[fd].received, 0);
+    atomic_store(&connections[fd].remote_port, remote_port);
+    record(fd, event, 0);
+}
+
+/* The descriptor is about to be closed. */
+static void end(int fd) {
+    if (fd >= 0 && fd < MOST_DESCRIPTORS && atomic_load(&connections[fd].remote_port) != 0) {
+        record(fd, CLOSED, 0);
+        atomic_store(&connections[fd].remote_port, 0);
+    }
+}
+
+/* What is open when the process ends by itself is closed then. */
+__attribute__((destructor)) static void unload(void) {
+    for (int fd = 0; fd < MOST_DESCRIPTORS; fd++) {
+        end(fd);
+    }
+}
+
+static ssize_t received(int fd, ssize_t bytes) {
+    if (bytes > 0 && fd >= 0 && fd < MOST_DESCRIPTORS) {
+        atomic_fetch_add(&connections[fd].received, bytes);
+    }
+    return bytes;
 }
 
 /* The fault that this call is to meet now: an errno, SHORT, or NONE. */
@@ -191,6 +290,9 @@
         fault = drawn(out);
     }
     if (fault > 0) {
+        if (fd < MOST_DESCRIPTORS) {
+            record(fd, BROKEN, (int) fault);
+        }
         break_off(fd, fault);
         errno = (int) fault;
     }
@@ -201,6 +303,14 @@
     return length < 2 ? length : 1 + random_bits() % (length - 1);
 }
 
+static void accepted(int fd) {
+    struct sockaddr_storage peer = {0};
+    socklen_t length = sizeof peer;
+    if (fd >= 0 && getpeername(fd, (struct sockaddr *) &peer, &length) == 0) {
+        begin(fd, port_of(&peer), ACCEPTED);
+    }
+}
+
 int accept(int fd, struct sockaddr *address, socklen_t *length) {
     REAL(accept)
     long fault = drawn(ACCEPT);
@@ -210,6 +320,7 @@
     }
     int made = real(fd, address, length);
     note(made, 0);
+    accepted(made);
     return made;
 }
 
@@ -222,6 +333,7 @@
     }
     int made = real(fd, address, length, flags);
     note(made, 0);
+    accepted(made);
     return made;
 }
 
@@ -237,6 +349,9 @@
     }
     int result = real(fd, address, length);
     note(fd, 1);
+    int error = errno;
+    begin(fd, port_of((const struct sockaddr_storage *) address), CONNECTED);
+    errno = error;
     if (fault == EINTR) { /* it goes on without the caller */
         errno = EINTR;
         return -1;
@@ -261,25 +376,35 @@
 int close(int fd) {
     REAL(close)
     note(fd, 0);
+    end(fd);
     return real(fd);
 }
 
 int dup2(int from, int to) {
     REAL(dup2)
     note(to, 0);
+    end(to);
     return real(from, to);
 }
 
+int shutdown(int fd, int how) {
+    REAL(shutdown)
+    if (how != SHUT_RD && fd >= 0 && fd < MOST_DESCRIPTORS) {
+        record(fd, SHUT_DOWN, 0);
+    }
+    return real(fd, how);
+}
+
 ssize_t read(int fd, void *bytes, size_t length) {
     REAL(read)
     long fault = transfer(fd, READ, READ_OUT);
-    return fault > 0 ? -1 : real(fd, bytes, fault == SHORT ? part_of(length) : length);
+    return fault > 0 ? -1 : received(fd, real(fd, bytes, fault == SHORT ? part_of(length) : length));
 }
 
 ssize_t recv(int fd, void *bytes, size_t length, int flags) {
     REAL(recv)
     long fault = transfer(fd, READ, READ_OUT);
-    return fault > 0 ? -1 : real(fd, bytes, fault == SHORT ? part_of(length) : length, flags);
+    return fault > 0 ? -1 : received(fd, real(fd, bytes, fault == SHORT ? part_of(length) : length, flags));
 }
 
 ssize_t readv(int fd, const struct iovec *parts, int count) {
@@ -287,9 +412,9 @@
     long fault = transfer(fd, READ, READ_OUT);
     if (fault == SHORT && count > 0) {
         struct iovec first = {parts[0].iov_base, part_of(parts[0].iov_len)};
-        return real(fd, &first, 1);
+        return received(fd, real(fd, &first, 1));
     }
-    return fault > 0 ? -1 : real(fd, parts, count);
+    return fault > 0 ? -1 : received(fd, real(fd, parts, count));
 }
 
 /* Bytes of a regular file: a fault that is drawn, or NONE. */
--- a/standins/src/test/java/gradereach/standins/faults/FaultShimTest.java
+++ b/standins/src/test/java/gradereach/standins/faults/FaultShimTest.java
@@ -76,6 +76,28 @@
         assertTrue(printed.contains("errors=[]") && printed.contains("short=false,false"), printed);
     }
 
+    /** Guards against a judgement of a connection's end without what was read of it and who ended it. */
+    @Test
+    void connectionsAreRecordedFromTheirBeginToTheirEnd() throws Exception {
+        long before = System.nanoTime();
+        run(List.of(SystemFault.error(FaultyCall.WRITE_CONNECTED, Errno.ETIMEDOUT, 0.1, 0, ALWAYS)));
+        List<ConnectionEvent> events = FaultShim.connectionEvents(folder.resolve("counts"));
+        List<ConnectionEvent> broken = events.stream().filter(event -> event.kind() == ConnectionEvent.Kind.BROKEN).toList();
+        assertTrue(!broken.isEmpty() && broken.size() < FaultedProcess.TIMES / 2, broken.size() + " broken");
+        assertTrue(broken.stream().allMatch(event -> event.error() == Errno.ETIMEDOUT.number));
+        long connected = events.stream().filter(event -> event.kind() == ConnectionEvent.Kind.CONNECTED).count();
+        List<ConnectionEvent> accepted = events.stream().filter(event -> event.kind() == ConnectionEvent.Kind.ACCEPTED).toList();
+        assertEquals(FaultedProcess.TIMES, connected);
+        assertEquals(FaultedProcess.TIMES, accepted.size());
+        for (ConnectionEvent begin : accepted) {
+            ConnectionEvent end = events.stream().filter(event -> event.kind() == ConnectionEvent.Kind.CLOSED
+                    && event.localPort() == begin.localPort() && event.remotePort() == begin.remotePort()).findAny().orElseThrow();
+            boolean wasBroken = broken.stream().anyMatch(event -> event.localPort() == begin.remotePort());
+            assertEquals(wasBroken ? 0 : FaultedProcess.BYTES, end.received());
+            assertTrue(before < begin.nanos() && begin.nanos() <= end.nanos() && end.nanos() < System.nanoTime());
+        }
+    }
+
     /** The span of a fault counts: outside of it nothing fails. */
     @Test
     void nothingFailsOutsideOfItsSpan() throws Exception {
--- a/standins/src/test/java/gradereach/standins/faults/FaultedProcess.java
+++ b/standins/src/test/java/gradereach/standins/faults/FaultedProcess.java
@@ -14,8 +14,8 @@
 
 /** Makes every kind of call that the shim knows, and prints what it met: one line a kind. */
 final class FaultedProcess {
-    private static final int TIMES = 200;
-    private static final int BYTES = 1000;
+    static final int TIMES = 200;
+    static final int BYTES = 1000;
 
     private final Set<String> errors = new TreeSet<>();
     private int shortReads;
--- a/standins/src/test/java/gradereach/standins/frames/RequestAuditorTest.java
+++ b/standins/src/test/java/gradereach/standins/frames/RequestAuditorTest.java
@@ -2,8 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import gradereach.standins.faults.ConnectionEvent;
 import gradereach.standins.frames.RequestAuditor.Breach;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -122,12 +125,91 @@
         assertEquals(breach == null ? List.of() : List.of(breach), breaches());
     }
 
+    private static final int CLIENT_PORT = 40_001;
+    private static final int LISTENER_PORT = 20_001;
+    private static final int CHANGELOG_PORT = 20_002;
+    private static final int WATCH_PORT = 40_002;
+    private static final int NEXT_WATCH_PORT = 40_003;
+
+    /** An event at a time of the peers' clock. */
+    private static ConnectionEvent event(PeerLoops clock, ConnectionEvent.Kind kind, double at, int localPort, int remotePort,
+            long received) {
+        long zero = System.nanoTime() - Math.round(clock.now() * 1e6);
+        return new ConnectionEvent(kind, zero + Math.round(at * 1e6), localPort, remotePort, received, 0, 0);
+    }
+
+    /** Guards against excusing a front end that reads a request and closes its connection at once. */
     @ParameterizedTest
-    @CsvSource({"109, ", "111, NO_ANSWER"})
-    void aRequestThatCrossesTheEndOfItsConnectionWasNotRead(double endedAt, Breach breach) {
+    @CsvSource({
+        // bytes that were read of the connection, of which 300 before the request; when it was closed
+        "300, 90, ", "300, 101, ", "300, 149, ", "300, 152, NO_ANSWER", "301, 101, NO_ANSWER", "700, 90, NO_ANSWER",
+        "700, 101, NO_ANSWER"})
+    void aRequestThatCrossesTheEndOfItsConnectionWasNotRead(long received, double closedAt, Breach breach) {
+        try (PeerLoops clock = new PeerLoops()) {
+            auditor.asked("a", "n1", 100, 1000, true);
+            auditor.connectionEnded("a", 200, CLIENT_PORT, 300);
+            auditor.recorded("n1", new FrontEndRecord(List.of(
+                    event(clock, ConnectionEvent.Kind.ACCEPTED, 10, LISTENER_PORT, CLIENT_PORT, 0),
+                    event(clock, ConnectionEvent.Kind.CLOSED, closedAt, LISTENER_PORT, CLIENT_PORT, received)), clock, Set.of(), List.of()));
+            assertEquals(breach == null ? List.of() : List.of(breach), breaches());
+        }
+    }
+
+    /** Without a record of the system calls an end is not excused, however soon it came. */
+    @Test
+    void anEndOfWhichNothingIsKnownIsNoExcuse() {
         auditor.asked("a", "n1", 100, 1000, true);
-        auditor.connectionEnded("a", endedAt);
-        assertEquals(breach == null ? List.of() : List.of(breach), breaches());
+        auditor.connectionEnded("a", 101, CLIENT_PORT, 0);
+        assertEquals(List.of(Breach.NO_ANSWER), breaches());
+    }
+
+    /** Guards against blaming a front end for what a fault kept from it, and against excusing one that had read it. */
+    @ParameterizedTest
+    @CsvSource({
+        // when the watch broke and what had been read of it; when it was asked again; who sends, when
+        "400, 50, 5000, n1, 2949, ", "400, 50, 5000, n1, 2952, AFTER_DRAIN", "400, 50, 1000, n1, 1549, ",
+        "400, 50, 1000, n1, 1552, AFTER_DRAIN", "700, 50, 5000, n1, 3249, ", "700, 60, 5000, n1, 1101, AFTER_DRAIN",
+        "400, 50, 5000, n2, 1101, AFTER_DRAIN", "400, 50, 450, n1, 1101, AFTER_DRAIN"})
+    void aDrainCountsAsToldToAFrontEndWhoseWatchWasBroken(double brokenAt, long received, double askedAgainAt, String frontEnd,
+            double sentAt, Breach breach) {
+        try (PeerLoops clock = new PeerLoops()) {
+            auditor.drains("s-1", 500);
+            auditor.drainTold("s-1", brokenAt < 500 ? Map.of() : Map.of(WATCH_PORT, 60L));
+            auditor.asked("a", frontEnd, 600, 5000, true);
+            auditor.attempt("s-1", "a", sentAt, 0);
+            auditor.answered("a", 503, "", sentAt);
+            auditor.recorded("n1", new FrontEndRecord(List.of(
+                    event(clock, ConnectionEvent.Kind.CONNECTED, 10, WATCH_PORT, CHANGELOG_PORT, 0),
+                    event(clock, ConnectionEvent.Kind.BROKEN, brokenAt, WATCH_PORT, CHANGELOG_PORT, received),
+                    event(clock, ConnectionEvent.Kind.CONNECTED, askedAgainAt - 1, NEXT_WATCH_PORT, CHANGELOG_PORT, 0)), clock,
+                    Set.of(CHANGELOG_PORT), List.of(new ChangelogServer.Asked(WATCH_PORT, 11),
+                    new ChangelogServer.Asked(NEXT_WATCH_PORT, askedAgainAt))));
+            assertEquals(breach == null ? List.of() : List.of(breach), breaches());
+        }
+    }
+
+    /** A load order is judged by the front end whose requests come on its connection, be it later. */
+    @Test
+    void aLoadOrderIsOfTheFrontEndWhoseConnectionItIs() {
+        try (PeerLoops clock = new PeerLoops()) {
+            RequestAuditor.Sender sender = new RequestAuditor.Sender();
+            auditor.drains("s-1", 500);
+            auditor.ordered("s-1", 1101, sender);
+            assertEquals(List.of(Breach.AFTER_DRAIN), breaches());
+            auditor.asked("a", "n1", 1200, 1000, true);
+            auditor.answered("a", 503, "", 1300);
+            auditor.sentBy(sender, "a");
+            auditor.recorded("n1", new FrontEndRecord(List.of(
+                    event(clock, ConnectionEvent.Kind.BROKEN, 400, WATCH_PORT, CHANGELOG_PORT, 50)), clock, Set.of(CHANGELOG_PORT),
+                    List.of()));
+            assertEquals(List.of(), breaches());
+        }
+    }
+
+    @Test
+    void anAttemptThatNobodyAskedForIsFound() {
+        auditor.attempt("s-1", "a", 10, 0);
+        assertEquals(List.of(Breach.UNKNOWN_REQUEST), breaches());
     }
 
     @ParameterizedTest
