LinkLeaseTest: what waits to be written goes out within its lease and its time (failing)

The I/O thread stands still between the decision and the write, by a latch, and goes on once the lease or the forward's time has run out. Three of seven rows fail on: a forward after its lease, a forward after its time, a load order after its lease, each written.

--- /dev/null
+++ b/gateway/src/test/java/gradereach/desk/LinkLeaseTest.java
@@ -0,0 +1,149 @@
+package gradereach.desk;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gradereach.api.RosterForm;
+import gradereach.api.Standing;
+import gradereach.counts.Counts;
+import gradereach.flow.PartFlow;
+import gradereach.http2.Http2Pool;
+import gradereach.link.ExecutorLinks;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http2.DefaultHttp2Headers;
+import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2HeadersFrame;
+import io.netty.handler.codec.http2.Http2MultiplexHandler;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What waits for an I/O thread that stands still is written only if it still may be. */
+@Timeout(30)
+class LinkLeaseTest {
+    private static final double ROSTER_LASTS = 200;
+    private static final double FAR = 1e9;
+    /** The stage's grace of rule 3, and what the module keeps of it for the way. */
+    private static final double GRACE = 500;
+    private static final double MARGIN = 25;
+
+    private final Stage stage = new Stage(1, 100, 100, router -> router);
+    private final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup peer = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final BlockingQueue<Consumer<Desk>> events = new LinkedBlockingQueue<>();
+    private final AtomicInteger arrived = new AtomicInteger();
+    private volatile double time;
+    private ExecutorLinks links;
+    private String address;
+
+    @BeforeEach
+    void start() throws InterruptedException {
+        InetSocketAddress at = (InetSocketAddress) new ServerBootstrap().group(peer).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel connection) {
+                        connection.pipeline().addLast(Http2FrameCodecBuilder.forServer().build(),
+                                new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel stream) {
+                                        stream.pipeline().addLast(new Answers());
+                                    }
+                                }));
+                    }
+                }).bind("127.0.0.1", 0).sync().channel().localAddress();
+        address = "127.0.0.1:" + at.getPort();
+        Http2Pool.Bounds bounds = new Http2Pool.Bounds(1, 10, 5000, FAR, 1000, 1 << 16);
+        links = new ExecutorLinks("fe", Set.of(), loop, NioSocketChannel.class, bounds, bounds,
+                new PartFlow.Bounds(1000, 100, 1000, stage.counts), new Counts(), () -> time, stage, events::add);
+    }
+
+    @AfterEach
+    void end() {
+        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        peer.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private final class Answers extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object frame) {
+            if (frame instanceof Http2HeadersFrame) {
+                arrived.incrementAndGet();
+                ctx.writeAndFlush(new DefaultHttp2HeadersFrame(new DefaultHttp2Headers().status("200"), true));
+            }
+            ReferenceCountUtil.release(frame);
+        }
+    }
+
+    /** Returns when the lease of the one executor ends. */
+    private double ready(double rosterLasts) {
+        stage.roster(RosterForm.FULL, new RosterLine(address, address, 1, 0, Standing.READY, 0, 0, 0));
+        double until = stage.now + rosterLasts;
+        stage.at(stage.now, () -> stage.desk.rosterValid(stage.now, until));
+        return until + GRACE - MARGIN;
+    }
+
+    /** Hands it to the links while their thread stands still, and lets that go on at that time. */
+    private void writtenAt(double writes, Runnable handOver) throws InterruptedException {
+        CountDownLatch goesOn = new CountDownLatch(1);
+        loop.execute(() -> {
+            try {
+                goesOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        time = stage.now;
+        handOver.run();
+        time = writes;
+        goesOn.countDown();
+        Consumer<Desk> end = events.take();
+        stage.at(time, () -> end.accept(stage.desk));
+    }
+
+    /** Guards against a forward that is written after its executor's lease (rule 3) or its own time has run out. */
+    @ParameterizedTest
+    @CsvSource({"lease, -1, 1", "lease, 1, 0", "time, -1, 1", "time, 1, 0"})
+    void aForwardIsWrittenWithinItsLeaseAndItsTime(String limit, double after, int arrives) throws Exception {
+        double leaseEnds = ready(limit.equals("lease") ? ROSTER_LASTS : FAR);
+        stage.ask("a", Stage.RETRIABLE, 1);
+        Flight flight = stage.out();
+        double ends = limit.equals("lease") ? leaseEnds : flight.stopAt();
+        assertEquals(Math.min(leaseEnds, flight.stopAt()), ends);
+        writtenAt(ends + after, () -> links.forward(flight));
+        assertEquals(arrives, arrived.get());
+    }
+
+    /** The same of a load order; a question may be asked at any time. */
+    @ParameterizedTest
+    @CsvSource({"order, -1, 1", "order, 1, 0", "question, 1, 1"})
+    void aLoadOrderIsWrittenWithinItsLease(String what, double after, int arrives) throws Exception {
+        double leaseEnds = ready(ROSTER_LASTS);
+        stage.ask("a", Stage.RETRIABLE, 1);
+        while (what.equals("order") && stage.orders.stream().noneMatch(order -> order.copies > 0)) {
+            stage.standing(0);
+            stage.pass(stage.now + 5);
+        }
+        Order order = stage.orders.stream().filter(each -> each.copies > 0 == what.equals("order")).findFirst().orElseThrow();
+        writtenAt(leaseEnds + after, () -> links.order(order));
+        assertEquals(arrives, arrived.get());
+    }
+}
