The gateway writes forwards and load orders within their executor's lease and their time

Cause: ExecutorLinks looked at the roster's word and at the desk's giving up only, as it wrote; the lease is the module's, whose thread is another one. Fix: the module puts the end of the lease beside what it sends (Executor.leaseEndsAt), a forward and an order carry it, and the link compares it and the forward's stopAt with the clock as it writes. What is not written comes back as never sent.

The decisions are the same: leases are computed as before. What an HTTP/2 connection holds back for flow control or a full socket is not looked at again: in the roadmap.

--- a/core/src/main/java/gradereach/Policy.java
+++ b/core/src/main/java/gradereach/Policy.java
@@ -833,6 +833,7 @@
                 c.orderSent(now);
                 rules.orders().add(orders, now);
                 holdsOut += orders;
+                c.executor.leaseEndsAt = leases.endOf(c.executor);
                 out.order(c.executor, c.model, c.wanted);
             }
         }
@@ -847,6 +848,7 @@
                 }
                 continue;
             }
+            c.executor.leaseEndsAt = leases.endOf(c.executor);
             Forward fwd = out.forward(inf, c.executor, inf.leavesAt - 2 * tier.tick());
             fwd.copies = c;
             fwd.company = c.inFlight - 1;
--- a/core/src/main/java/gradereach/ReadinessLeases.java
+++ b/core/src/main/java/gradereach/ReadinessLeases.java
@@ -50,8 +50,12 @@
     }
 
     /** Whether forwards and load orders may be sent to it. */
-    boolean maySend(Executor ex, double now) {
-        return ex.standing == Standing.READY && now < Math.max(rosterValidUntil, ex.provenReadyAt) + grace - MARGIN;
+    boolean maySend(Executor ex, double now) { return now < endOf(ex); }
+
+    /** When its lease ends by what is known now; minus infinity where it has none. */
+    double endOf(Executor ex) {
+        return ex.standing != Standing.READY ? Double.NEGATIVE_INFINITY
+                : Math.max(rosterValidUntil, ex.provenReadyAt) + grace - MARGIN;
     }
 
     /** Whether it is ready by a roster that is no longer valid, and a question would tell more. */
--- a/core/src/main/java/gradereach/state/Executor.java
+++ b/core/src/main/java/gradereach/state/Executor.java
@@ -28,6 +28,11 @@
     public double reportAt = Double.NEGATIVE_INFINITY;
     public double probedAt = Double.NEGATIVE_INFINITY;
     public boolean probing;
+    /**
+     * When the lease ends under which something is being sent to it, module time: for links whose threads cannot ask as they
+     * write. A module that knows no leases leaves it.
+     */
+    public double leaseEndsAt = Double.POSITIVE_INFINITY;
     /** When the latest probe was sent that it answered as ready, and the latest that it answered as not. */
     public double provenReadyAt = Double.NEGATIVE_INFINITY;
     public double refusedAt = Double.NEGATIVE_INFINITY;
--- a/gateway/src/main/java/gradereach/desk/Desk.java
+++ b/gateway/src/main/java/gradereach/desk/Desk.java
@@ -817,7 +817,8 @@
         Life life = lives.get(inf.id);
         Forward fwd = new Forward(inf, ex, inf.forwards.size(), now);
         inf.forwards.add(fwd);
-        Flight flight = new Flight(life, fwd, placesById.get(ex.id), Math.min(stopAt, inf.leavesAt));
+        Flight flight = new Flight(life, fwd, placesById.get(ex.id), Math.min(stopAt, inf.leavesAt),
+                ex.leaseEndsAt);
         life.flights.add(flight);
         flight.timer = timers.set(flight.stopAt, flight);
         forwards.increment();
@@ -991,7 +992,7 @@
     public void order(Executor ex, Model mdl, int copies) {
         Place place = placesById.get(ex.id);
         String modelName = names.get(mdl);
-        Order order = new Order(place, modelName, mdl, copies, era, now, loading.orderTimeout());
+        Order order = new Order(place, modelName, mdl, copies, era, now, loading.orderTimeout(), ex.leaseEndsAt);
         order.timer = timers.set(now + loading.orderTimeout(), order);
         (copies > 0 ? ordersSent : questionsSent).increment();
         links.order(order);
--- a/gateway/src/main/java/gradereach/desk/Flight.java
+++ b/gateway/src/main/java/gradereach/desk/Flight.java
@@ -8,6 +8,7 @@
     final Life life;
     final Forward forward;
     final double stopAt;
+    private final double leaseEndsAt;
     long timer;
     boolean ended;
     /** Handed to the links; before that its intent waits to be durable. */
@@ -21,7 +22,9 @@
     /** Set by the deciding thread when it no longer waits: a link that has not sent it yet need not. */
     public volatile boolean givenUp;
 
-    Flight(Life life, Forward forward, Place place, double stopAt) {
+    /** @param leaseEndsAt when its executor's lease ends by what was known as it was decided, module time */
+    Flight(Life life, Forward forward, Place place, double stopAt, double leaseEndsAt) {
+        this.leaseEndsAt = leaseEndsAt;
         this.life = life;
         this.forward = forward;
         this.place = place;
@@ -51,6 +54,11 @@
         return stopAt;
     }
 
+    /** From when on it must not be written any more: its time is up, or its executor may drain unheard; module time. */
+    public double writableUntil() {
+        return Math.min(stopAt, leaseEndsAt);
+    }
+
     /** The forwards of the same inference, this one included. */
     public List<Flight> siblings() {
         return life.flights;
--- a/gateway/src/main/java/gradereach/desk/Order.java
+++ b/gateway/src/main/java/gradereach/desk/Order.java
@@ -13,10 +13,13 @@
     final Model model;
     final int era;
     final double sentAt;
+    private final double leaseEndsAt;
     long timer;
     volatile boolean ended;
 
-    Order(Place place, String modelName, Model model, int copies, int era, double sentAt, double patience) {
+    /** @param leaseEndsAt when its executor's lease ends by what was known as it was decided, module time */
+    Order(Place place, String modelName, Model model, int copies, int era, double sentAt, double patience, double leaseEndsAt) {
+        this.leaseEndsAt = leaseEndsAt;
         this.place = place;
         this.modelName = modelName;
         this.model = model;
@@ -26,6 +29,11 @@
         this.patience = patience;
     }
 
+    /** From when on it must not be written any more, as its executor may drain unheard; a question may always be. */
+    public double writableUntil() {
+        return copies > 0 ? leaseEndsAt : Double.POSITIVE_INFINITY;
+    }
+
     /** Whether its end is still waited for: a link that has not sent it yet need not, once it is not. */
     public boolean wanted() {
         return !ended;
--- a/gateway/src/main/java/gradereach/link/ExecutorLinks.java
+++ b/gateway/src/main/java/gradereach/link/ExecutorLinks.java
@@ -154,15 +154,18 @@
         }
     }
 
-    /** Whether nothing has changed since it was decided: somebody waits for it, and its executor has not begun to drain. */
-    private static BooleanSupplier stillWanted(Flight flight) {
+    /**
+     * Whether it may still be written: somebody waits for it, its time is not up, and its executor has neither begun to drain
+     * nor may have done so unheard. It waited for a connection, or for its thread.
+     */
+    private BooleanSupplier stillWanted(Flight flight) {
         BooleanSupplier ready = stillReady(flight.place);
-        return () -> !flight.givenUp && ready.getAsBoolean();
+        return () -> !flight.givenUp && clock.getAsDouble() < flight.writableUntil() && ready.getAsBoolean();
     }
 
-    private static BooleanSupplier stillWanted(Order order) {
+    private BooleanSupplier stillWanted(Order order) {
         BooleanSupplier ready = stillReady(order.place);
-        return () -> order.wanted() && ready.getAsBoolean();
+        return () -> order.wanted() && clock.getAsDouble() < order.writableUntil() && ready.getAsBoolean();
     }
 
     private static BooleanSupplier stillReady(Place place) {
