GatewayRosterOutageTest: a whole front end through an outage of its roster

Stand-ins learn two faults: `roster_away` (the roster answers 503 and its watches end) and `drain_unheard` (an executor answers probes as not ready, the roster does not say so, and it takes what comes). From 5.15 s after the outage began nothing arrives at the executor that drains, and nine in ten are served by the other.

--- /dev/null
+++ b/gateway/src/test/java/gradereach/serve/GatewayRosterOutageTest.java
@@ -0,0 +1,119 @@
+package gradereach.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gradereach.plan.Deployment;
+import gradereach.standins.SmallFleet;
+import gradereach.standins.Transcript;
+import gradereach.webhook.KeyRing;
+import gradereach.webhook.WebhookKey;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A whole front end whose roster cannot be read while one of its executors drains: it serves by the other. */
+@Timeout(60)
+class GatewayRosterOutageTest {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int MODELS = 6;
+    /** How long the roster counts after a failure, the grace of the rule, and a failed try before it; milliseconds. */
+    private static final double TOLD = 4000;
+    private static final double GRACE = 500;
+    private static final double TRY = 600;
+    private static final double OUTAGE = 8000;
+    /** For the last forward's way and the transcript of both; one machine's clock. */
+    private static final double SLACK = 50;
+
+    private final String secret = WebhookKey.newSecret(new SecureRandom());
+    private final WebhookKey key = WebhookKey.parse(secret);
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    @TempDir
+    private Path folder;
+    private SmallFleet fleet;
+    private Gateway gateway;
+    private InetSocketAddress at;
+    private int asked;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new SmallFleet(folder, 2);
+        gateway = new Gateway(Deployment.of(fleet.plan("fe", secret), folder), Between.NOTHING);
+        at = gateway.listen();
+        while (!gateway.ready()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        gateway.close();
+        fleet.close();
+    }
+
+    private int ask() throws IOException, InterruptedException {
+        String id = "o" + asked++;
+        byte[] body = ("{\"type\":\"inference.requested\",\"timestamp\":\"t\",\"data\":{\"model\":\"look-" + asked % MODELS
+                + "\",\"input\":{\"inputs\":[],\"parameters\":{\"work_ms\":1}}}}").getBytes(StandardCharsets.UTF_8);
+        long now = System.currentTimeMillis() / 1000;
+        return client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + at.getPort() + "/v1/inferences"))
+                .header("content-type", "application/json").header("webhook-id", id)
+                .header("webhook-timestamp", Long.toString(now))
+                .header("webhook-signature", KeyRing.header(List.of(key), id, now, body))
+                .POST(HttpRequest.BodyPublishers.ofByteArray(body)).build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    private List<JsonNode> transcript() throws IOException {
+        List<JsonNode> events = new ArrayList<>();
+        for (String line : Files.readAllLines(folder.resolve("t.jsonl"))) {
+            events.add(JSON.readTree(line));
+        }
+        return events;
+    }
+
+    /** Guards against going on with executors that drain while the roster cannot be read (rule 3), and against not serving. */
+    @Test
+    void nothingGoesToAnExecutorThatDrainsUnheardAndTheOtherServes() throws Exception {
+        for (int i = 0; i < 2 * MODELS; i++) {
+            assertEquals(200, ask());
+        }
+        fleet.apply(JSON.readTree("{\"kind\":\"roster_away\",\"for_ms\":60000}"));
+        fleet.apply(JSON.readTree("{\"kind\":\"drain_unheard\",\"ex\":0,\"for_ms\":60000}"));
+        double from = Transcript.now();
+        double told = from + TRY + TOLD + GRACE + SLACK;
+        int late = 0;
+        int served = 0;
+        while (Transcript.now() < from + OUTAGE) {
+            boolean isLate = Transcript.now() > told;
+            int status = ask();
+            late += isLate ? 1 : 0;
+            served += isLate && status == 200 ? 1 : 0;
+        }
+        String draining = fleet.addresses().get(0);
+        gateway.close();
+        fleet.close();
+        List<String> breaches = transcript().stream().filter(event -> event.path("t").asDouble() > told)
+                .filter(event -> event.path("ex").asText().equals(draining))
+                .filter(event -> event.path("ev").asText().equals("arrived")
+                        || event.path("ev").asText().equals("order") && event.path("copies").asInt() > 0)
+                .map(JsonNode::toString).toList();
+        assertEquals(List.of(), breaches);
+        assertTrue(late > 0 && served >= 0.9 * late, served + " of " + late + " served");
+    }
+}
--- a/standins/src/main/java/gradereach/standins/RosterServer.java
+++ b/standins/src/main/java/gradereach/standins/RosterServer.java
@@ -35,6 +35,8 @@
     private final Map<String, ObjectNode> slices = new LinkedHashMap<>();
     private final CopyOnWriteArrayList<Watcher> watchers = new CopyOnWriteArrayList<>();
     private long version = 1;
+    /** Open watches end, and whatever is asked is answered 503. */
+    volatile boolean away;
 
     RosterServer(Transcript transcript) throws IOException {
         this.transcript = transcript;
@@ -80,6 +82,11 @@
 
     private void serve(HttpExchange ask) throws IOException {
         String agent = String.valueOf(ask.getRequestHeaders().getFirst("user-agent")).replace("gradereach/", "");
+        if (away) {
+            ask.sendResponseHeaders(503, -1);
+            ask.close();
+            return;
+        }
         ask.getResponseHeaders().set("content-type", "application/json");
         if (!String.valueOf(ask.getRequestURI().getQuery()).contains("watch=1")) {
             byte[] list;
@@ -109,7 +116,7 @@
         ask.sendResponseHeaders(200, 0);
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(timeoutSeconds(ask.getRequestURI().getQuery()));
         try (OutputStream out = ask.getResponseBody()) {
-            while (System.nanoTime() < end) {
+            while (!away && System.nanoTime() < end) {
                 ObjectNode event = watcher.events.poll(200, TimeUnit.MILLISECONDS);
                 if (event == null) {
                     out.write('\n');
--- a/standins/src/main/java/gradereach/standins/SmallFleet.java
+++ b/standins/src/main/java/gradereach/standins/SmallFleet.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** A few stand-ins in this very process, and the deployment file that fits them: for tests on loopback. */
@@ -50,6 +51,11 @@
         fleet.apply(fault);
     }
 
+    /** Of the executors, in their order. */
+    public List<String> addresses() {
+        return fleet.addresses();
+    }
+
     public int controlPort() {
         return fleet.controlPort();
     }
--- a/standins/src/main/java/gradereach/standins/StandInExecutor.java
+++ b/standins/src/main/java/gradereach/standins/StandInExecutor.java
@@ -57,6 +57,8 @@
         volatile String unanswered;
         volatile boolean refuses;
         volatile String resets;
+        /** It is not ready for new work, and the roster does not say so; what comes all the same it takes. */
+        volatile boolean drainsUnheard;
 
     }
 
@@ -161,7 +163,7 @@
             if (path.startsWith("/v2/outcomes/")) {
                 outcome(ctx, URLDecoder.decode(path.substring(13), StandardCharsets.UTF_8));
             } else if (path.equals("/v2/health/ready")) {
-                answer(ctx, 200, "{}", null);
+                answer(ctx, faults.drainsUnheard ? 503 : 200, "{}", null);
             } else if (path.startsWith("/v2/repository/models/")) {
                 order(ctx, path, request, agent);
             } else if (path.startsWith("/v2/models/") && path.endsWith("/infer")) {
--- a/standins/src/main/java/gradereach/standins/StandInFleet.java
+++ b/standins/src/main/java/gradereach/standins/StandInFleet.java
@@ -172,6 +172,14 @@
                 hit.forEach(ex -> ex.faults.resets = what.substring(6));
                 later(length, () -> hit.forEach(ex -> ex.faults.resets = null));
             }
+            case "drain_unheard" -> {
+                hit.forEach(ex -> ex.faults.drainsUnheard = true);
+                later(length, () -> hit.forEach(ex -> ex.faults.drainsUnheard = false));
+            }
+            case "roster_away" -> {
+                roster.away = true;
+                later(length, () -> roster.away = false);
+            }
             case "crash" -> hit.forEach(ex -> crash(ex, length));
             case "drain" -> {
                 // One after the other: draining, down, back cold under the same address.
