ExecutorLinks: forwards by gRPC and the heads of answers in files of their own

No change of behaviour: GrpcExecutorsTest, StreamedAnswersTest, LinkLeaseTest and ProofsTest are green.

--- a/gateway/src/main/java/gradereach/link/ExecutorLinks.java
+++ b/gateway/src/main/java/gradereach/link/ExecutorLinks.java
@@ -13,24 +13,14 @@
 import gradereach.http2.Exchange;
 import gradereach.http2.Http2Pool;
 import gradereach.inquiry.InquiryBook;
-import gradereach.message.BadMessage;
-import gradereach.oip.InferJson;
-import gradereach.protocol.inference.InferTensorContents;
-import gradereach.protocol.inference.ModelInferResponse;
-import gradereach.protocol.inference.ModelStreamInferResponse;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http2.Http2Headers;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
@@ -42,25 +32,17 @@
  */
 public final class ExecutorLinks implements Links {
     private static final byte[] NOTHING = {};
-    /** How many copies stand, in an answer to a load order. */
-    static final String COPIES = "model-copies";
-    /** On what a forward ran: {@code loaded}, {@code began-load}, {@code waited-for-load}, {@code load-failed}. */
-    static final String WARMTH = "model-warmth";
-    /** How many of the same model the executor held when this one came. */
-    static final String CROWD = "model-crowd";
-
     private final String agent;
     private final EventLoopGroup loops;
     private final Class<? extends Channel> channelType;
     private final Http2Pool.Bounds bounds;
     private final Http2Pool.Bounds streamBounds;
-    private final PartFlow.Bounds parts;
     private final Http2Pool.Tally tally;
     private final DoubleSupplier clock;
     private final Desk.WallClock wall;
     private final Consumer<Consumer<Desk>> toDesk;
-    private final LongAdder badReports;
-    private final LongAdder badAnswers;
+    private final AnswerHeads heads;
+    private final GrpcForwards grpc;
     private final Set<Integer> grpcKinds;
     private final Map<String, String> inferPaths = new ConcurrentHashMap<>();
 
@@ -76,14 +58,13 @@
         this.channelType = channelType;
         this.bounds = bounds;
         this.streamBounds = streamBounds;
-        this.parts = parts;
         this.clock = clock;
         this.wall = wall;
         this.toDesk = toDesk;
         tally = new Http2Pool.Tally(counts, "executor");
         this.grpcKinds = grpcKinds;
-        badAnswers = counts.counter("answers_unreadable");
-        badReports = counts.counter("load_reports_unreadable");
+        heads = new AnswerHeads(counts);
+        grpc = new GrpcForwards(agent, heads, bounds.longestAnswer(), parts, toDesk, counts);
     }
 
     /** What is open to one executor. */
@@ -129,20 +110,20 @@
     public void forward(Flight flight) {
         if (grpcKinds.contains(flight.place.kind())) {
             if (flight.readsParts()) {
-                new Streamed(flight).send();
+                grpc.stream(streams(flight.place), flight, stillWanted(flight));
             } else {
-                call(flight);
+                grpc.call(pool(flight.place), flight, stillWanted(flight));
             }
             return;
         }
         Exchange end = (how, status, headers, body) -> {
-            Outcome outcome = Proofs.ofForward(how, status, header(headers, Proofs.BEGUN));
+            Outcome outcome = Proofs.ofForward(how, status, AnswerHeads.header(headers, Proofs.BEGUN));
             if (how == Exchange.End.GIVEN_UP || how == Exchange.End.NOT_WRITTEN && flight.givenUp) {
                 return; // the desk gave it up and knows
             }
-            Warmth warmth = warmth(header(headers, WARMTH));
-            int crowd = number(header(headers, CROWD), -1);
-            Report report = report(headers);
+            Warmth warmth = AnswerHeads.warmth(AnswerHeads.header(headers, AnswerHeads.WARMTH));
+            int crowd = AnswerHeads.number(AnswerHeads.header(headers, AnswerHeads.CROWD), -1);
+            Report report = heads.report(headers);
             toDesk.accept(desk -> desk.ended(flight, outcome, warmth, crowd, report, body));
         };
         flight.stream = pool(flight.place).send(stillWanted(flight), "POST",
@@ -173,133 +154,9 @@
         return () -> !wasReady || place.ready();
     }
 
-    /** Loads what {@link #call} needs: the first inferences of a process would pay for it otherwise. */
+    /** Loads what forwards by gRPC need: the first inferences of a process would pay for it otherwise. */
     public static void warmUp(int times) {
-        byte[] json = "{\"inputs\":[{\"name\":\"x\",\"shape\":[1],\"datatype\":\"FP32\",\"data\":[1]}],\"parameters\":{\"p\":0.5}}"
-                .getBytes(StandardCharsets.UTF_8);
-        byte[] answer = ModelInferResponse.newBuilder().setModelName("any").addOutputs(ModelInferResponse.InferOutputTensor
-                .newBuilder().setName("x").setDatatype("FP32").addShape(1).setContents(InferTensorContents.newBuilder()
-                .addFp32Contents(1))).build().toByteArray();
-        try {
-            for (int i = 0; i < times; i++) {
-                GrpcForm.framed(InferJson.message(json, "any"));
-                GrpcForm.output(GrpcForm.framed(answer));
-                Proofs.ofGrpc(Exchange.End.ANSWERED, "0", null);
-            }
-        } catch (IOException | BadMessage e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
-    private static final String CALL = "/inference.GRPCInferenceService/ModelInfer";
-
-    /**
-     * The same by gRPC ("gRPC over HTTP2"), on the pool's own HTTP/2: grpc-java does not tell REFUSED_STREAM and the last
-     * id of a GOAWAY from other ends, and without them nothing would be proven not to have run.
-     */
-    private void call(Flight flight) {
-        Exchange end = (how, status, headers, body) -> {
-            if (how == Exchange.End.GIVEN_UP || how == Exchange.End.NOT_WRITTEN && flight.givenUp) {
-                return; // the desk gave it up and knows
-            }
-            Outcome outcome = Proofs.ofGrpc(how, header(headers, GrpcForm.STATUS), header(headers, Proofs.BEGUN));
-            byte[] output = null;
-            if (outcome == Outcome.RETURNED) {
-                try {
-                    output = GrpcForm.output(body);
-                } catch (IOException e) {
-                    badAnswers.increment();
-                    outcome = Outcome.ERROR;
-                }
-            }
-            Outcome known = outcome;
-            byte[] answer = output;
-            Warmth warmth = warmth(header(headers, WARMTH));
-            int crowd = number(header(headers, CROWD), -1);
-            Report report = report(headers);
-            toDesk.accept(desk -> desk.ended(flight, known, warmth, crowd, report, answer));
-        };
-        flight.stream = pool(flight.place).send(stillWanted(flight), "POST", CALL, GrpcForm.framed(flight.input().message()), end,
-                "content-type", "application/grpc", "te", "trailers", "x-request-id", flight.name(), "idempotency-key",
-                flight.mark(), "user-agent", agent);
-    }
-
-    private static final String STREAM = "/inference.GRPCInferenceService/ModelStreamInfer";
-
-    /**
-     * One inference by the streamed call: its answer comes in parts, of which the first is its start. A head without a part
-     * starts nothing, since libraries send heads before anything has run.
-     */
-    private final class Streamed implements Exchange.Flowing, PartFlow.Source {
-        private final Flight flight;
-        private final GrpcForm.Messages messages = new GrpcForm.Messages(bounds.longestAnswer());
-        private final PartFlow<ModelStreamInferResponse> flow = new PartFlow<>(this, parts);
-        private Http2Pool.Request request;
-        private boolean failed;
-
-        Streamed(Flight flight) {
-            this.flight = flight;
-        }
-
-        void send() {
-            request = streams(flight.place).send(stillWanted(flight), "POST", STREAM, GrpcForm.framed(flight.input().message()), this,
-                    "content-type", "application/grpc", "te", "trailers", "x-request-id", flight.name(), "idempotency-key",
-                    flight.mark(), "user-agent", agent);
-            flight.stream = request;
-        }
-
-        @Override
-        public void more() {
-            request.more();
-        }
-
-        @Override
-        public boolean bytes(ByteBuf some) throws IOException {
-            for (byte[] message; (message = messages.next(some)) != null;) {
-                ModelStreamInferResponse part = ModelStreamInferResponse.parseFrom(message);
-                if (!part.getErrorMessage().isEmpty()) {
-                    failed = true; // its status follows, and says no more than this
-                    continue;
-                }
-                if (flow.parts() == 0) {
-                    toDesk.accept(desk -> desk.started(flight, flow));
-                }
-                if (!flow.put(part, message.length)) {
-                    throw new IOException("too many parts wait for slow readers");
-                }
-            }
-            return flow.wantsMore();
-        }
-
-        @Override
-        public void ended(End how, int status, Http2Headers headers, byte[] body) {
-            boolean started = flow.parts() > 0;
-            List<ModelStreamInferResponse> all = flow.end();
-            if (how == End.GIVEN_UP || how == End.NOT_WRITTEN && flight.givenUp) {
-                return; // the desk gave it up and knows
-            }
-            Outcome outcome = Proofs.ofGrpc(how, header(headers, GrpcForm.STATUS), header(headers, Proofs.BEGUN));
-            // What has started has run, whatever is said of it afterwards.
-            boolean proves = started && outcome.provesNotRun;
-            boolean torn = outcome == Outcome.RETURNED && (!started || failed || !messages.between());
-            byte[] output = null;
-            if (torn || proves) {
-                badAnswers.add(torn && !failed ? 1 : 0);
-                outcome = Outcome.ERROR;
-            } else if (outcome == Outcome.RETURNED && all != null) {
-                try {
-                    output = InferJson.parts(all);
-                } catch (IOException e) {
-                    badAnswers.increment(); // what was read stays read; only the record of it says less
-                }
-            }
-            Outcome known = outcome;
-            byte[] answer = output;
-            Warmth warmth = warmth(header(headers, WARMTH));
-            int crowd = number(header(headers, CROWD), -1);
-            Report report = report(headers);
-            toDesk.accept(desk -> desk.ended(flight, known, warmth, crowd, report, answer));
-        }
+        GrpcForwards.warmUp(times);
     }
 
     private static final int MOST_PATHS = 100_000; // as many as a large fleet's models; made again when cleared
@@ -317,7 +174,7 @@
         byte[] body = ("{\"parameters\":{\"copies\":" + order.copies + "}}").getBytes(StandardCharsets.UTF_8);
         pool(order.place).send(stillWanted(order), "POST", path, body, (how, status, headers, content) -> {
             Outcome outcome = Proofs.ofOrder(how, status);
-            int standing = number(header(headers, COPIES), 0);
+            int standing = AnswerHeads.number(AnswerHeads.header(headers, AnswerHeads.COPIES), 0);
             toDesk.accept(desk -> desk.ordered(order, outcome, standing));
         }, "content-type", "application/json", "user-agent", agent);
     }
@@ -334,7 +191,7 @@
         double sentAt = clock.getAsDouble();
         pool(place).send("GET", "/v2/health/ready", NOTHING, (how, status, headers, body) -> {
             Outcome outcome = Proofs.ofOrder(how, status);
-            Report report = report(headers);
+            Report report = heads.report(headers);
             double took = clock.getAsDouble() - sentAt;
             toDesk.accept(desk -> desk.probed(place, outcome, took, report));
         }, "user-agent", agent);
@@ -349,7 +206,7 @@
             InquiryBook.Told what = how != Exchange.End.ANSWERED ? InquiryBook.Told.NOTHING
                     : status == 200 ? InquiryBook.Told.FINISHED : status == 202 ? InquiryBook.Told.RUNNING
                     : status == 404 ? InquiryBook.Told.UNSEEN : InquiryBook.Told.NOTHING;
-            CharSequence since = header(headers, UP_SINCE);
+            CharSequence since = AnswerHeads.header(headers, UP_SINCE);
             double upSince = since == null || !since.toString().matches("\\d{1,15}") ? Double.NaN
                     : wall.toModule(Long.parseLong(since.toString()));
             toDesk.accept(desk -> then.told(what, upSince, body));
@@ -366,40 +223,6 @@
         }
     }
 
-    private Report report(Http2Headers headers) {
-        CharSequence text = header(headers, LoadReport.HEADER);
-        Report report = LoadReport.parse(text);
-        if (text != null && report == null) {
-            badReports.increment();
-        }
-        return report;
-    }
-
-    private static CharSequence header(Http2Headers headers, String name) {
-        return headers == null ? null : headers.get(name);
-    }
-
-    private static int number(CharSequence text, int otherwise) {
-        try {
-            return text == null ? otherwise : Integer.parseInt(text.toString());
-        } catch (NumberFormatException e) {
-            return otherwise;
-        }
-    }
-
-    private static Warmth warmth(CharSequence text) {
-        if (text == null) {
-            return Warmth.UNTOLD;
-        }
-        return switch (text.toString()) {
-            case "loaded" -> Warmth.FOUND_LOADED;
-            case "began-load" -> Warmth.BEGAN_LOAD;
-            case "waited-for-load" -> Warmth.WAITED_FOR_LOAD;
-            case "load-failed" -> Warmth.LOAD_FAILED;
-            default -> Warmth.UNTOLD;
-        };
-    }
-
     private static String encoded(String name) {
         return URLEncoder.encode(name, StandardCharsets.UTF_8).replace("+", "%20");
     }
