--- a/client/src/test/java/gradereach/client/GradereachClientTest.java
+++ b/client/src/test/java/gradereach/client/GradereachClientTest.java
@@ -146,6 +146,26 @@
         assertEquals(61, fleet.runs().size());
     }
 
+    /**
+     * Guards against taking a call for one that may have run which a GOAWAY proves not to have been processed (RFC 9113, 6.8):
+     * what may not run twice goes to another front end.
+     */
+    @Test
+    void whatAGoAwayRefusesGoesToAnother() throws Exception {
+        List<String> serving = addresses.get("grpc").subList(0, 1);
+        try (GradereachClient warmUp = client("grpc", serving)) {
+            ask(warmUp, "grpc", "book-1", 1, Effect.ONCE, 8000).get();
+        }
+        for (int i = 0; i < 4; i++) { // the client begins with either
+            try (GoingAway goingAway = new GoingAway();
+                    GradereachClient client = client("grpc", List.of(goingAway.address(), serving.get(0)))) {
+                ask(client, "grpc", "book-1", 1, Effect.ONCE, 8000).get();
+                ask(client, "grpc", "book-1", 1, Effect.ONCE, 8000).get();
+                assertEquals(1, goingAway.calls());
+            }
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"webhooks", "grpc"})
     void whatCannotBeAnInferenceIsNotRepeatedAndADeadlineEndsAll(String way) throws Exception {
