Client: a call that the server proves not to have processed is no lost one

Cause: the channel was built with disableRetry(), which also turns off the library's transparent repeats (gRFC A6): a call above the last stream of a GOAWAY ended as UNAVAILABLE after its head was written, which is LOST. A front end that stops, or ends a connection for its age, sends GOAWAY while calls cross it. Fix: transparent repeats stay on; without a policy there are no others. What was written before such a repeat counts as not written, so that a front end whose listener has closed is NEVER_SENT, and another one is asked.

--- a/client/src/main/java/gradereach/client/GrpcWay.java
+++ b/client/src/main/java/gradereach/client/GrpcWay.java
@@ -24,7 +24,7 @@
 
 /**
  * Unary calls of the Open Inference Protocol's gRPC service, signed in metadata, and streamed calls of one inference, signed in
- * the message; the library repeats nothing itself.
+ * the message; the library repeats nothing itself but what a server proves not to have processed.
  */
 final class GrpcWay implements Way {
     private static final String METHOD = GRPCInferenceServiceGrpc.getModelInferMethod().getFullMethodName();
@@ -47,7 +47,8 @@
     }
 
     private static ManagedChannel channel(String address) {
-        return NettyChannelBuilder.forTarget(address).usePlaintext().disableRetry().build();
+        // Without a policy the library repeats a call by itself only where the server proves not to have processed it.
+        return NettyChannelBuilder.forTarget(address).usePlaintext().build();
     }
 
     @Override
@@ -142,6 +143,7 @@
 
         @Override
         public ClientStreamTracer newClientStreamTracer(ClientStreamTracer.StreamInfo info, Metadata headers) {
+            yes = false; // whatever was written before is proven not to have been processed
             return new ClientStreamTracer() {
                 @Override
                 public void outboundHeaders() {
