The soak tells an attempt whose write a stop held up; listeners of scripted peers stand once

FaultShim can stop its process before a call now, and records a write of a thread that has not read the clock for over 20 ms: FaultShimTest.aWriteThatAStopHeldUpIsRecorded forces it. The auditor names it with the finding, which stays a breach.

--- a/standins/src/main/java/gradereach/standins/faults/ConnectionEvent.java
+++ b/standins/src/main/java/gradereach/standins/faults/ConnectionEvent.java
@@ -6,9 +6,9 @@
  * @param nanos when, by {@link System#nanoTime} of this machine
  * @param received bytes that the process had read of the connection
  * @param unread bytes that the system still held for it
- * @param error number of the error that broke it; 0 for other events
+ * @param detail of a broken one the number of the error, of a write that was held up for how many milliseconds; else 0
  */
-public record ConnectionEvent(Kind kind, long nanos, int localPort, int remotePort, long received, int unread, int error) {
+public record ConnectionEvent(Kind kind, long nanos, int localPort, int remotePort, long received, int unread, int detail) {
     /** What happened; in the shim's order, from 1. */
     public enum Kind {
         /** The process has begun to connect. */
@@ -19,6 +19,8 @@
         /** The process sends nothing more. */
         SHUT_DOWN,
         /** The process has closed it, or has ended by itself. */
-        CLOSED
+        CLOSED,
+        /** It is about to write, long after the writing thread has read the clock: it was stopped in between. */
+        HELD_UP
     }
 }
--- a/standins/src/main/java/gradereach/standins/faults/ConnectionRecords.java
+++ b/standins/src/main/java/gradereach/standins/faults/ConnectionRecords.java
@@ -49,11 +49,11 @@
         long nanos = bytes.getLong();
         long received = bytes.getLong();
         int unread = bytes.getInt();
-        int error = bytes.getInt();
+        int detail = bytes.getInt();
         int localPort = bytes.getShort() & PORT_MASK;
         int remotePort = bytes.getShort() & PORT_MASK;
         int kind = bytes.getInt();
         return kind < 1 || kind > Kind.values().length ? null
-                : new ConnectionEvent(Kind.values()[kind - 1], nanos, localPort, remotePort, received, unread, error);
+                : new ConnectionEvent(Kind.values()[kind - 1], nanos, localPort, remotePort, received, unread, detail);
     }
 }
--- a/standins/src/main/java/gradereach/standins/frames/ChangelogServer.java
+++ b/standins/src/main/java/gradereach/standins/frames/ChangelogServer.java
@@ -3,11 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -36,8 +33,7 @@
     private final List<Asked> asked = new CopyOnWriteArrayList<>();
     /** Bytes written to each watch that is open. */
     private final Map<Channel, Long> written = new ConcurrentHashMap<>();
-    private final Set<Channel> connections = ConcurrentHashMap.newKeySet();
-    private final List<Channel> listeners = new ArrayList<>();
+    private final List<PeerListener> listeners = new ArrayList<>();
     private volatile Outage outage;
 
     /** A front end has asked for what is missing, on a connection from that port. */
@@ -52,32 +48,13 @@
     public ChangelogServer(PeerLoops loops, int ports) throws InterruptedException {
         this.loops = loops;
         for (int i = 0; i < ports; i++) {
-            Channel listener = listenAnywhere();
+            PeerListener listener = new PeerListener(loops, connection -> new Watch());
             listeners.add(listener);
-            addresses.add(PeerLoops.address(listener));
+            addresses.add(listener.address());
         }
         loops.next().scheduleAtFixedRate(this::beat, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private Channel listenAnywhere() throws InterruptedException {
-        return loops.listen(connections());
-    }
-
-    private Channel listenAt(int port) throws InterruptedException {
-        return loops.listen(port, connections());
-    }
-
-    private ChannelHandler connections() {
-        return new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                connections.add(ch);
-                ch.closeFuture().addListener(end -> connections.remove(ch));
-                ch.pipeline().addLast(new Watch());
-            }
-        };
-    }
-
     /** One instance of an event, as JSON. */
     public static String instance(String id, String address, String state) {
         return instance(id, address, state, 0);
@@ -94,15 +71,15 @@
         outage = kind;
         watches.clear();
         if (kind == Outage.UNREACHABLE) {
-            for (Channel listener : listeners) {
-                listener.close().sync();
+            for (PeerListener listener : listeners) {
+                listener.stop();
             }
         }
         if (kind == Outage.SILENT) {
             silentAt = loops.now();
         } else {
             brokeOffAt = loops.now();
-            connections.forEach(Channel::close);
+            closeConnections();
         }
     }
 
@@ -110,14 +87,18 @@
     public void restore() throws InterruptedException {
         Outage was = outage;
         outage = null;
-        connections.forEach(Channel::close);
+        closeConnections();
         if (was == Outage.UNREACHABLE) {
-            for (int i = 0; i < listeners.size(); i++) {
-                listeners.set(i, listenAt(PeerLoops.port(listeners.get(i))));
+            for (PeerListener listener : listeners) {
+                listener.startAgain();
             }
         }
     }
 
+    private void closeConnections() {
+        listeners.forEach(listener -> listener.connections().forEach(Channel::close));
+    }
+
     /** All events so far, as the configuration of a front end holds them. */
     public synchronized String known() {
         return "{\"seq\":" + events.size() + ",\"results\":[" + String.join(",", events) + "]}";
@@ -130,7 +111,7 @@
 
     /** The ports on which it listens. */
     public Set<Integer> ports() {
-        return listeners.stream().map(PeerLoops::port).collect(Collectors.toSet());
+        return listeners.stream().map(PeerListener::port).collect(Collectors.toSet());
     }
 
     /**
@@ -142,14 +123,10 @@
                 + ",\"instances\":[" + instances + "]}}";
         events.add(event);
         Map<Integer, Long> bytesByWatch = new HashMap<>();
-        watches.forEach(watch -> bytesByWatch.put(remotePort(watch), write(watch, event)));
+        watches.forEach(watch -> bytesByWatch.put(PeerLoops.remotePort(watch), write(watch, event)));
         return bytesByWatch;
     }
 
-    private static int remotePort(Channel watch) {
-        return watch.remoteAddress() instanceof InetSocketAddress from ? from.getPort() : 0; // 0 once it has ended
-    }
-
     /** A front end is told to go to another of its addresses. */
     public void moved() {
         movedAt = loops.now();
@@ -211,7 +188,7 @@
             String line = heard.substring(0, end).strip();
             heard.delete(0, end + 1);
             if (outage == null) {
-                asked.add(new Asked(remotePort(ctx.channel()), loops.now()));
+                asked.add(new Asked(PeerLoops.remotePort(ctx.channel()), loops.now()));
                 ChangelogServer.this.begin(ctx.channel(), Integer.parseInt(line.substring(line.indexOf(' ') + 1)));
             }
         }
--- a/standins/src/main/java/gradereach/standins/frames/FrameExecutor.java
+++ b/standins/src/main/java/gradereach/standins/frames/FrameExecutor.java
@@ -3,16 +3,12 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 /** An executor that answers most requests, in its own time. What arrives is told to the auditor as it arrives. */
@@ -30,9 +26,8 @@
     private final PeerLoops loops;
     private final RequestAuditor auditor;
     private final Random chance;
-    private final Set<Channel> connections = ConcurrentHashMap.newKeySet();
     private volatile double drainsSince = Double.POSITIVE_INFINITY;
-    private Channel listener;
+    private final PeerListener listener;
 
     /** Listens on a port of its own. */
     public FrameExecutor(PeerLoops loops, RequestAuditor auditor, String instance, long seed) throws InterruptedException {
@@ -40,27 +35,8 @@
         this.auditor = auditor;
         this.instance = instance;
         chance = new Random(seed);
-        listener = listenAnywhere();
-        address = PeerLoops.address(listener);
-    }
-
-    private Channel listenAnywhere() throws InterruptedException {
-        return loops.listen(connections());
-    }
-
-    private Channel listenAt(int port) throws InterruptedException {
-        return loops.listen(port, connections());
-    }
-
-    private ChannelHandler connections() {
-        return new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                connections.add(ch);
-                ch.closeFuture().addListener(end -> connections.remove(ch));
-                ch.pipeline().addLast(new Session());
-            }
-        };
+        listener = new PeerListener(loops, connection -> new Session(PeerLoops.remotePort(connection)));
+        address = listener.address();
     }
 
     /** From now on it says so to probes, and a while later it turns requests away; it stays up. */
@@ -74,26 +50,26 @@
 
     /** Its process has ended: connections are reset, new ones refused. */
     public void stop() throws InterruptedException {
-        listener.close().sync();
+        listener.stop();
         resetAll();
     }
 
     /** A new process at the same address. */
     public void startAgain() throws InterruptedException {
         drainsSince = Double.POSITIVE_INFINITY;
-        listener = listenAt(PeerLoops.port(listener));
+        listener.startAgain();
     }
 
     /** Reads nothing for so long: what front ends write piles up. */
     public void stopReading(long millis) {
-        for (Channel connection : connections) {
+        for (Channel connection : listener.connections()) {
             connection.eventLoop().execute(() -> connection.pipeline().get(Session.class).stopReading(connection, millis));
         }
     }
 
     /** Resets every connection. */
     public void resetAll() {
-        for (Channel connection : connections) {
+        for (Channel connection : listener.connections()) {
             connection.config().setOption(ChannelOption.SO_LINGER, 0);
             connection.close();
         }
@@ -101,8 +77,7 @@
 
     private synchronized void request(Channel to, Frames.Command asked, double arrivedAt, RequestAuditor.Sender sender) {
         String name = "%016x".formatted(asked.id());
-        auditor.sentBy(sender, name);
-        auditor.attempt(instance, name, arrivedAt, asked.number("patience", 0));
+        auditor.attempt(instance, name, arrivedAt, asked.number("patience", 0), sender);
         if (loops.now() > drainsSince + TURNS_AWAY_AFTER) {
             to.writeAndFlush(Frames.of(Frames.FULL, asked.id(), ""));
             return;
@@ -141,7 +116,11 @@
         private double stoppedAt = Double.NaN;
         private double readAgainAt = Double.NaN;
         private int stops;
-        private final RequestAuditor.Sender sender = new RequestAuditor.Sender();
+        private final RequestAuditor.Sender sender;
+
+        private Session(int port) {
+            sender = new RequestAuditor.Sender(port);
+        }
 
         private void stopReading(Channel connection, long millis) {
             stoppedAt = stops > 0 ? stoppedAt : loops.now();
--- a/standins/src/main/java/gradereach/standins/frames/FrontEndRecord.java
+++ b/standins/src/main/java/gradereach/standins/frames/FrontEndRecord.java
@@ -19,6 +19,8 @@
     private static final double CROSSING = 50;
     /** The protocol: what the change log would have told counts as told so long after a break, or once it is asked again. */
     private static final double TOLD_AFTER_BREAK = 2000;
+    /** Milliseconds from a write to when its peer has read it, on a busy machine. */
+    private static final double WAY = 300;
 
     private final List<ConnectionEvent> events;
     private final PeerLoops clock;
@@ -79,6 +81,12 @@
         return Math.max(at, Math.min(brokenAt + TOLD_AFTER_BREAK, askedAgainAt));
     }
 
+    /** For how long a write on that connection was held up by a stop, just before {@code at}; 0 where none was. */
+    double heldUp(int localPort, double at) {
+        return last(event -> event.kind() == Kind.HELD_UP && event.localPort() == localPort && time(event) <= at
+                && at - time(event) <= WAY).map(ConnectionEvent::detail).orElse(0);
+    }
+
     /** The break by which the event was not read; none where it was read, or no fault kept it from being read. */
     private Optional<ConnectionEvent> watchBrokenBefore(double at, Map<Integer, Long> bytesByWatch) {
         Optional<ConnectionEvent> watch = last(event -> event.kind() == Kind.CONNECTED && toChangelog(event)
--- a/standins/src/main/java/gradereach/standins/frames/PeerLoops.java
+++ b/standins/src/main/java/gradereach/standins/frames/PeerLoops.java
@@ -95,6 +95,11 @@
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
+    /** From which port a connection was made; 0 once it has ended. */
+    static int remotePort(Channel connection) {
+        return connection.remoteAddress() instanceof InetSocketAddress from ? from.getPort() : 0;
+    }
+
     static String address(Channel listener) {
         return ((InetSocketAddress) listener.localAddress()).getHostString() + ":" + port(listener);
     }
--- a/standins/src/main/java/gradereach/standins/frames/RequestAuditor.java
+++ b/standins/src/main/java/gradereach/standins/frames/RequestAuditor.java
@@ -51,10 +51,19 @@
     private static final double RECOVERY = 100;
 
     /** Who writes on a connection to an executor: the front end whose requests came on it, null before the first. */
-    public static final class Sender {
+    static final class Sender {
+        private final int port;
         private Object frontEnd;
+
+        /** @param port from which the connection was made */
+        Sender(int port) {
+            this.port = port;
+        }
     }
 
+    /** An attempt that began after its request's end; what held its write up is told with it. */
+    private record LateAttempt(String what, double at, Sender sender) { }
+
     /** Something that came to an executor after its grace, as far as its time alone tells. */
     private record LateSend(String executor, String what, double at, Drain drain, Sender sender) { }
 
@@ -109,6 +118,7 @@
     private final List<Standstill> standstills = new ArrayList<>();
     private final Map<String, Drain> drains = new HashMap<>();
     private final List<LateSend> lateSends = new ArrayList<>();
+    private final List<LateAttempt> lateAttempts = new ArrayList<>();
     private final Map<Object, FrontEndRecord> records = new HashMap<>();
     private final Map<Allowance, Integer> allowed = new EnumMap<>(Allowance.class);
     private final List<Finding> findings = new ArrayList<>();
@@ -205,6 +215,11 @@
      * @param patience the time that was passed on with it, milliseconds
      */
     public synchronized void attempt(String executor, String id, double at, double patience) {
+        attempt(executor, id, at, patience, new Sender(0));
+    }
+
+    /** The same on a connection of {@code sender}. */
+    synchronized void attempt(String executor, String id, double at, double patience, Sender sender) {
         Request request = requests.get(id);
         if (request == null) {
             findings.add(new Finding(Breach.UNKNOWN_REQUEST, id + " on " + executor));
@@ -216,22 +231,13 @@
                     + " ms beyond its client's time; " + request + standstillsOf(request.frontEnd)));
         }
         if (at > request.over() + LEAVING_SLACK + SOCKET_SLACK) {
-            findings.add(new Finding(Breach.LATE_ATTEMPT, id + " at " + Math.round(at) + " on " + executor + ": "
-                    + Math.round(at - request.over()) + " ms after its end; " + request + standstillsOf(request.frontEnd)));
+            lateAttempts.add(new LateAttempt(id + " at " + Math.round(at) + " on " + executor + ": "
+                    + Math.round(at - request.over()) + " ms after its end; " + request + standstillsOf(request.frontEnd), at, sender));
         }
-        Sender sender = new Sender();
         sender.frontEnd = request.frontEnd;
         afterDrain(executor, "request " + id, at, sender);
     }
 
-    /** A request has come on a connection to an executor: whatever comes on it is of the same front end. */
-    synchronized void sentBy(Sender sender, String id) {
-        Request request = requests.get(id);
-        if (request != null) {
-            sender.frontEnd = request.frontEnd;
-        }
-    }
-
     /** An executor did not turn it away: it runs, or may have run. */
     public synchronized void taken(String executor, String id) {
         Request request = requests.get(id);
@@ -242,7 +248,7 @@
 
     /** A load order has arrived whole at an executor. */
     public synchronized void ordered(String executor, double at) {
-        ordered(executor, at, new Sender());
+        ordered(executor, at, new Sender(0));
     }
 
     /** The same from a {@code sender} whose front end may become known later. */
@@ -300,6 +306,12 @@
                 .findAny().orElse("");
     }
 
+    private String heldUp(LateAttempt late) {
+        FrontEndRecord shown = records.get(late.sender.frontEnd);
+        double millis = shown == null ? 0 : shown.heldUp(late.sender.port, late.at);
+        return millis > 0 ? "; stopped for " + Math.round(millis) + " ms between its last look at the clock and the write" : "";
+    }
+
     private boolean isAllowed(LateSend send) {
         FrontEndRecord shown = records.get(send.sender.frontEnd);
         boolean inTime = shown != null && !isAfterGrace(send.at, shown.toldAt(send.drain.at, send.drain.bytesByWatch));
@@ -321,6 +333,7 @@
     public synchronized List<Finding> findings(double before) {
         List<Finding> all = new ArrayList<>(findings);
         allowed.clear();
+        lateAttempts.forEach(late -> all.add(new Finding(Breach.LATE_ATTEMPT, late.what + heldUp(late))));
         lateSends.stream().filter(send -> !isAllowed(send)).forEach(send -> all.add(new Finding(Breach.AFTER_DRAIN, send.what
                 + " to " + send.executor + " by " + send.sender.frontEnd + ": " + Math.round(send.at - send.drain.at) + " ms after")));
         requests.forEach((id, request) -> {
--- a/standins/src/main/resources/gradereach/standins/faults/fault_shim.c
+++ b/standins/src/main/resources/gradereach/standins/faults/fault_shim.c
@@ -5,7 +5,8 @@
  * GRADEREACH_FAULTS holds rules separated by ';', each CALL:FAULT:RATE:FROM:TO
  *   CALL   accept, connect, socket, read, write (TCP sockets), read.out, write.out (those that this process connected),
  *          wait (epoll_wait), sync (fsync, fdatasync), file (writes to regular files), clock (CLOCK_REALTIME)
- *   FAULT  a number of errno, or "short"; of clock the step in milliseconds
+ *   FAULT  a number of errno, "short", or "stop" (SIGSTOP to the process itself, before the call, which then goes on); of
+ *          clock the step in milliseconds
  *   RATE   probability for one call, 0 to 1
  *   FROM, TO  milliseconds since the process has loaded this, on the monotonic clock
  * GRADEREACH_FAULT_SEED seeds the draws. GRADEREACH_FAULT_COUNTS names a file in which each rule's faults are counted, as
@@ -18,6 +19,7 @@
 #include <fcntl.h>
 #include <limits.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdatomic.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -38,7 +40,7 @@
 static const char *const CALL_NAMES[CALLS] = {
     "accept", "connect", "socket", "read", "write", "read.out", "write.out", "wait", "sync", "file", "clock"};
 
-enum { MOST_RULES = 64, MOST_DESCRIPTORS = 65536, SHORT = -1, NONE = 0 };
+enum { MOST_RULES = 64, MOST_DESCRIPTORS = 65536, STOP = -2, SHORT = -1, NONE = 0 };
 
 struct rule {
     enum call call;
@@ -57,16 +59,16 @@
 /* Descriptors that this process has connected. */
 static _Atomic char connected[MOST_DESCRIPTORS];
 
-enum event { CONNECTED = 1, ACCEPTED, BROKEN, SHUT_DOWN, CLOSED };
+enum event { CONNECTED = 1, ACCEPTED, BROKEN, SHUT_DOWN, CLOSED, HELD_UP };
 
-enum { MOST_RECORDS = 65536 };
+enum { MOST_RECORDS = 65536, HELD_UP_MILLIS = 20 };
 
 /* One event of one TCP connection; native byte order. */
 struct record {
     int64_t nanos;    /* on the monotonic clock */
     int64_t received; /* bytes that the process has read of it */
     int32_t unread;   /* bytes that the system still holds for the process */
-    int32_t error;    /* of BROKEN */
+    int32_t detail;   /* of BROKEN the error; of HELD_UP the milliseconds since this thread has read the clock */
     uint16_t local_port;
     uint16_t remote_port;
     uint32_t event;
@@ -86,6 +88,8 @@
 };
 
 static struct records *records;
+/* When this thread has read the monotonic clock last; nanoseconds, 0 before. */
+static __thread int64_t clock_read_at;
 static struct connection connections[MOST_DESCRIPTORS];
 
 static int (*real_clock_gettime)(clockid_t, struct timespec *);
@@ -137,7 +141,7 @@
         fprintf(stderr, "fault shim: no such call: %s\n", name);
         _exit(2);
     }
-    rule->fault = strcmp(fault, "short") == 0 ? SHORT : atol(fault);
+    rule->fault = strcmp(fault, "short") == 0 ? SHORT : strcmp(fault, "stop") == 0 ? STOP : atol(fault);
     rule->rate = atof(rate);
     rule->from = atoll(from);
     rule->to = atoll(to);
@@ -174,7 +178,7 @@
     counts = shared == NULL ? none : shared;
 }
 
-static void record(int fd, enum event event, int error) {
+static void record(int fd, enum event event, int detail) {
     struct connection *connection = &connections[fd];
     uint16_t remote_port = atomic_load(&connection->remote_port);
     if (records == NULL || remote_port == 0) {
@@ -184,7 +188,7 @@
     ioctl(fd, FIONREAD, &unread);
     int64_t at = atomic_fetch_add(&records->count, 1);
     if (at < MOST_RECORDS) {
-        records->all[at] = (struct record) {nanoseconds(), atomic_load(&connection->received), unread, error,
+        records->all[at] = (struct record) {nanoseconds(), atomic_load(&connection->received), unread, detail,
             connection->local_port, remote_port, event};
     }
 }
@@ -289,6 +293,10 @@
     if (fault == NONE && is_connected_by_us(fd)) {
         fault = drawn(out);
     }
+    if (fault == STOP) {
+        kill(getpid(), SIGSTOP);
+        fault = NONE;
+    }
     if (fault > 0) {
         if (fd < MOST_DESCRIPTORS) {
             record(fd, BROKEN, (int) fault);
@@ -430,8 +438,17 @@
     return fault;
 }
 
+/* A process that is stopped between its last look at the clock and a write sends what may be over by then. */
+static void note_held_up(int fd) {
+    int64_t held_up = clock_read_at == 0 ? 0 : (nanoseconds() - clock_read_at) / 1000000;
+    if (held_up > HELD_UP_MILLIS && is_connected_by_us(fd)) {
+        record(fd, HELD_UP, (int) held_up);
+    }
+}
+
 static long write_fault(int fd) {
     long fault = transfer(fd, WRITE, WRITE_OUT);
+    note_held_up(fd);
     return fault == NONE ? file_fault(fd) : fault;
 }
 
@@ -511,6 +528,9 @@
         real_clock_gettime = (int (*)(clockid_t, struct timespec *)) dlsym(RTLD_NEXT, "clock_gettime");
     }
     int result = real_clock_gettime(clock, time);
+    if (result == 0 && clock == CLOCK_MONOTONIC) {
+        clock_read_at = time->tv_sec * 1000000000LL + time->tv_nsec;
+    }
     if (result == 0 && (clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE)) {
         int64_t step = clock_step();
         int64_t nanos = time->tv_nsec + step % 1000 * 1000000;
--- a/standins/src/test/java/gradereach/standins/faults/FaultShimTest.java
+++ b/standins/src/test/java/gradereach/standins/faults/FaultShimTest.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -17,19 +19,24 @@
 class FaultShimTest {
     private static final long ALWAYS = 1_000_000;
     private static final long STEP = 3_600_000;
+    private static final long STOPPED_MILLIS = 100;
 
     @TempDir
     private Path folder;
 
     private String run(List<SystemFault> faults) throws Exception {
+        Process process = start(faults);
+        String printed = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(0, process.waitFor(), printed);
+        return printed;
+    }
+
+    private Process start(List<SystemFault> faults) throws Exception {
         ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:-UsePerfData", "-cp", System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
                 FaultedProcess.class.getName(), folder.resolve("file").toString()).redirectErrorStream(true);
         FaultShim.compile(folder).load(start, faults, 3, folder.resolve("counts"));
-        Process process = start.start();
-        String printed = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertEquals(0, process.waitFor(), printed);
-        return printed;
+        return start.start();
     }
 
     @Test
@@ -84,7 +91,7 @@
         List<ConnectionEvent> events = FaultShim.connectionEvents(folder.resolve("counts"));
         List<ConnectionEvent> broken = events.stream().filter(event -> event.kind() == ConnectionEvent.Kind.BROKEN).toList();
         assertTrue(!broken.isEmpty() && broken.size() < FaultedProcess.TIMES / 2, broken.size() + " broken");
-        assertTrue(broken.stream().allMatch(event -> event.error() == Errno.ETIMEDOUT.number));
+        assertTrue(broken.stream().allMatch(event -> event.detail() == Errno.ETIMEDOUT.number));
         long connected = events.stream().filter(event -> event.kind() == ConnectionEvent.Kind.CONNECTED).count();
         List<ConnectionEvent> accepted = events.stream().filter(event -> event.kind() == ConnectionEvent.Kind.ACCEPTED).toList();
         assertEquals(FaultedProcess.TIMES, connected);
@@ -98,6 +105,31 @@
         }
     }
 
+    /** Guards against taking a stop between the last look at the clock and a write for one that looks too seldom. */
+    @Test
+    void aWriteThatAStopHeldUpIsRecorded() throws Exception {
+        Process process = start(List.of(SystemFault.stop(FaultyCall.WRITE_CONNECTED, 0.02, 0, ALWAYS)));
+        Path state = Path.of("/proc", Long.toString(process.pid()), "stat");
+        while (process.isAlive()) {
+            if (isStopped(state)) {
+                Thread.sleep(STOPPED_MILLIS);
+                new ProcessBuilder("kill", "-CONT", Long.toString(process.pid())).start().waitFor();
+            }
+        }
+        List<ConnectionEvent> heldUp = FaultShim.connectionEvents(folder.resolve("counts")).stream()
+                .filter(event -> event.kind() == ConnectionEvent.Kind.HELD_UP).toList();
+        assertTrue(!heldUp.isEmpty(), "no write was held up");
+        assertTrue(heldUp.stream().allMatch(event -> event.detail() >= STOPPED_MILLIS), heldUp::toString);
+    }
+
+    private static boolean isStopped(Path state) {
+        try {
+            return Files.readString(state).matches("(?s)\\d+ \\(.*\\) T .*");
+        } catch (IOException e) {
+            return false; // it has ended
+        }
+    }
+
     /** The span of a fault counts: outside of it nothing fails. */
     @Test
     void nothingFailsOutsideOfItsSpan() throws Exception {
--- a/standins/src/test/java/gradereach/standins/frames/RequestAuditorTest.java
+++ b/standins/src/test/java/gradereach/standins/frames/RequestAuditorTest.java
@@ -192,13 +192,13 @@
     @Test
     void aLoadOrderIsOfTheFrontEndWhoseConnectionItIs() {
         try (PeerLoops clock = new PeerLoops()) {
-            RequestAuditor.Sender sender = new RequestAuditor.Sender();
+            RequestAuditor.Sender sender = new RequestAuditor.Sender(0);
             auditor.drains("s-1", 500);
             auditor.ordered("s-1", 1101, sender);
             assertEquals(List.of(Breach.AFTER_DRAIN), breaches());
             auditor.asked("a", "n1", 1200, 1000, true);
             auditor.answered("a", 503, "", 1300);
-            auditor.sentBy(sender, "a");
+            auditor.attempt("s-2", "a", 1250, 0, sender);
             auditor.recorded("n1", new FrontEndRecord(List.of(
                     event(clock, ConnectionEvent.Kind.BROKEN, 400, WATCH_PORT, CHANGELOG_PORT, 50)), clock, Set.of(CHANGELOG_PORT),
                     List.of()));
