--- a/rehearsal/src/main/java/gradereach/rehearsal/Auditor.java
+++ b/rehearsal/src/main/java/gradereach/rehearsal/Auditor.java
@@ -36,10 +36,20 @@
         }
     }
 
-    /** All that is reported of a day. */
-    public record Findings(List<Verdict> verdicts, Map<String, Long> counts) {
+    /**
+     * All that is reported of a day.
+     *
+     * @param undecided why the day cannot tell all that it is to tell; empty where it can
+     */
+    public record Findings(List<Verdict> verdicts, Map<String, Long> counts, List<String> undecided) {
+        /** No rule was broken, and the day was such that it would have shown. */
         public boolean kept() {
-            return verdicts.stream().allMatch(Verdict::kept);
+            return decided() && verdicts.stream().allMatch(Verdict::kept);
+        }
+
+        /** Whether it counts: it shows a breach, or nothing stood in the way of seeing one. */
+        public boolean decided() {
+            return undecided.isEmpty() || !verdicts.stream().allMatch(Verdict::kept);
         }
     }
 
@@ -75,6 +85,7 @@
     private final Map<String, Set<Integer>> webhookBodies = new HashMap<>();
     private final Map<String, Long> counts = new TreeMap<>();
     private final Set<String> fell = new LinkedHashSet<>();
+    private final List<String> undecided = new ArrayList<>();
     private double last;
 
     /** @param repeatOf retriable, deduped or non-retriable, by model group; {@code sloOf} in milliseconds */
@@ -133,6 +144,7 @@
             }
             case "killed" -> kills.computeIfAbsent(fe, f -> new ArrayList<>()).add(t);
             case "fell" -> fell.add(ex);
+            case "cut-short" -> undecided.add(l.path("what").asText());
             case "webhook" -> {
                 String id = l.path("id").asText();
                 // One after which a repeat is harmless has an id of its own; either is the answer to its message.
@@ -151,7 +163,7 @@
         counts.put("within the SLO time", withinSlo());
         return new Findings(List.of(answered(), effects(), drains(),
                 new Verdict(4, "no cold executor pushed over", fell.isEmpty(), told.size(), List.copyOf(fell)),
-                rationed()), counts);
+                rationed()), counts, List.copyOf(undecided));
     }
 
     /** First tries and their repeats as one: returned within the SLO time from the first asking. */
--- /dev/null
+++ b/rehearsal/src/test/java/gradereach/rehearsal/RehearsalEndTest.java
@@ -0,0 +1,91 @@
+package gradereach.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A rehearsal's end while a front end is still starting: one that was killed and never says that it listens again. */
+@Timeout(120)
+class RehearsalEndTest {
+    @TempDir
+    private Path folder;
+
+    /** Plays the day of this test in the folder that is named: for a rehearsal that is itself ended. */
+    public static void main(String[] args) throws Exception {
+        play(Path.of(args[0]));
+    }
+
+    private static Auditor.Findings play(Path folder) throws Exception {
+        Path command = folder.resolve("front-end.sh");
+        Files.writeString(command, """
+                #!/bin/sh
+                if mkdir %1$s/started-once; then
+                  exec %2$s "$1"
+                fi
+                echo $$ > %1$s/starting.tmp
+                mv %1$s/starting.tmp %1$s/starting
+                exec sleep 60
+                """.formatted(folder, String.join(" ", Rehearsal.javaCommand("gradereach.serve.FrontEndProcess"))));
+        ObjectNode day = (ObjectNode) Rehearsal.script("quick").deepCopy();
+        day.put("length_ms", 1500).put("front_ends", 1);
+        day.putArray("events").addObject().put("at_ms", 300).put("kind", "kill_front_end").put("fe", 0).put("for_ms", 100);
+        return new Rehearsal(day, folder.resolve("play"), List.of("sh", command.toString()),
+                new PrintStream(PrintStream.nullOutputStream())).run();
+    }
+
+    private ProcessHandle starting() throws Exception {
+        return ProcessHandle.of(Long.parseLong(Files.readString(folder.resolve("starting")).strip())).orElse(null);
+    }
+
+    private static boolean ends(ProcessHandle process) throws Exception {
+        for (int i = 0; i < 500 && process != null && process.isAlive(); i++) {
+            Thread.sleep(10);
+        }
+        return process == null || !process.isAlive();
+    }
+
+    @AfterEach
+    void leaveNothingRunning() throws Exception {
+        ProcessHandle process = Files.exists(folder.resolve("starting")) ? starting() : null;
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    /** Guards against front ends that go on for ever beside every later play, and against a day that hides it was cut short. */
+    @Test
+    void aFrontEndThatIsStillStartingEndsWithTheDayAndTheDayIsVoid() throws Exception {
+        Auditor.Findings found = play(folder);
+        assertTrue(ends(starting()));
+        assertFalse(found.decided(), found.toString());
+    }
+
+    /** The same where the rehearsal is ended by a signal at that moment. */
+    @Test
+    void aFrontEndThatIsStillStartingEndsWithARehearsalThatIsEnded() throws Exception {
+        Process rehearsal = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                RehearsalEndTest.class.getName(), folder.toString()).redirectErrorStream(true)
+                .redirectOutput(folder.resolve("rehearsal.log").toFile()).start();
+        try {
+            while (rehearsal.isAlive() && !Files.exists(folder.resolve("starting"))) {
+                Thread.sleep(5);
+            }
+            rehearsal.destroy();
+            assertTrue(rehearsal.waitFor(60, TimeUnit.SECONDS));
+            assertTrue(ends(starting()));
+        } finally {
+            rehearsal.destroyForcibly();
+        }
+    }
+}
