ChildProcesses: what a play starts ends with it, from its start on

Cause: a front end came into the list of processes to be ended only once it had said that it listens, and no interrupt ends the reading of that line; the soak's constructor left its process where its thread was interrupted; measures had no hook for a signal. Change: one class starts all processes of a play, knows each from its start, refuses to start one afterwards, and ends them at the end or at a signal. Rehearsal, soak, measures use it.

--- a/cli/src/main/java/gradereach/cli/SoakCommand.java
+++ b/cli/src/main/java/gradereach/cli/SoakCommand.java
@@ -53,9 +53,6 @@
             System.err.println("--only, --without: nothing is left to be played");
             return 2;
         }
-        // One that is interrupted leaves nothing running, a front end that is just being started included.
-        Runtime.getRuntime().addShutdownHook(new Thread(() ->
-                ProcessHandle.current().descendants().forEach(ProcessHandle::destroyForcibly)));
         boolean kept = true;
         for (long next = seed; next < seed + seeds; next++) {
             if (!play(next, troubles).kept()) {
--- a/rehearsal/src/main/java/gradereach/measure/Measure.java
+++ b/rehearsal/src/main/java/gradereach/measure/Measure.java
@@ -7,6 +7,7 @@
 import gradereach.http2.Exchange.End;
 import gradereach.http2.Http2Pool;
 import gradereach.measures.Service;
+import gradereach.rehearsal.ChildProcesses;
 import gradereach.rehearsal.Rehearsal;
 import gradereach.remotewrite.Pusher;
 import gradereach.remotewrite.SendQueue;
@@ -16,9 +17,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -69,6 +68,8 @@
     private final PrintStream out;
     private final WebhookKey key = WebhookKey.parse(WebhookKey.newSecret(new SecureRandom()));
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
+    private final ChildProcesses children = new ChildProcesses(TimeUnit.SECONDS.toMillis(10));
+    /** In the order of their start. */
     private final List<Process> processes = new ArrayList<>();
     private Histogram lastTimes;
 
@@ -209,14 +210,7 @@
     }
 
     private void end() throws InterruptedException {
-        for (Process process : processes) {
-            process.destroy();
-        }
-        for (Process process : processes) {
-            if (!process.waitFor(10, TimeUnit.SECONDS)) {
-                process.destroyForcibly();
-            }
-        }
+        children.close();
         loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
     }
 
@@ -262,10 +256,10 @@
     }
 
     private String start(List<String> command) throws IOException {
-        Process made = new ProcessBuilder(command).redirectError(
-                ProcessBuilder.Redirect.appendTo(folder.resolve("processes.log").toFile())).start();
+        Process made = children.start(new ProcessBuilder(command).redirectError(
+                ProcessBuilder.Redirect.appendTo(folder.resolve("processes.log").toFile())));
         processes.add(made);
-        String line = new BufferedReader(new InputStreamReader(made.getInputStream(), StandardCharsets.UTF_8)).readLine();
+        String line = made.inputReader(StandardCharsets.UTF_8).readLine();
         if (line == null) {
             throw new IOException("a process did not start: see " + folder.resolve("processes.log"));
         }
--- a/rehearsal/src/main/java/gradereach/measure/StreamMeasure.java
+++ b/rehearsal/src/main/java/gradereach/measure/StreamMeasure.java
@@ -9,15 +9,14 @@
 import gradereach.http2.Http2Pool;
 import gradereach.protocol.inference.InferParameter;
 import gradereach.protocol.inference.ModelInferRequest;
+import gradereach.rehearsal.ChildProcesses;
 import gradereach.standins.StandInFleet;
 import gradereach.webhook.WebhookKey;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -70,19 +69,18 @@
             ways.add(Way.grpc(key));
         }
         try (StandInFleet fleet = new StandInFleet(told, folder.resolve("stand-ins.jsonl"))) {
-            Process frontEnd = new ProcessBuilder(command(shared, fleet.rosterPort())).redirectError(
-                    folder.resolve("front-end.log").toFile()).start();
+            ChildProcesses children = new ChildProcesses(TimeUnit.SECONDS.toMillis(10));
+            Process frontEnd = children.start(new ProcessBuilder(command(shared, fleet.rosterPort())).redirectError(
+                    folder.resolve("front-end.log").toFile()));
             try {
-                String line = new BufferedReader(new InputStreamReader(frontEnd.getInputStream(), StandardCharsets.UTF_8))
-                        .readLine();
+                String line = frontEnd.inputReader(StandardCharsets.UTF_8).readLine();
                 if (line == null) {
                     throw new IOException("the front end did not start: see " + folder.resolve("front-end.log"));
                 }
                 String through = "127.0.0.1:" + line.replaceAll(".*:", "");
                 measure(fleet.addresses().get(0), through, frontEnd, rounds, open);
             } finally {
-                frontEnd.destroy();
-                frontEnd.waitFor(10, TimeUnit.SECONDS);
+                children.close();
                 ways.forEach(Way::close);
             }
         }
--- a/rehearsal/src/main/java/gradereach/rehearsal/Crowd.java
+++ b/rehearsal/src/main/java/gradereach/rehearsal/Crowd.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 
 /**
  * Scripted clients: ask at a rate that does not wait for answers, give up on their own time, repeat as their kind
@@ -42,6 +43,8 @@
     private static final int WARM_UPS = 50;
     private static final double WARM_UP_BUDGET = 1000;
     private static final double WARM_UP_MILLIS = 3000;
+    /** What an event leaves behind is asked of as well. */
+    private static final double AFTER_EVENTS_MILLIS = 500;
     /** Above every budget of the days, and what a client waits after it. */
     private static final double LAST_ENDS_MILLIS = 15_000;
 
@@ -147,11 +150,16 @@
         louder = size;
     }
 
-    /** Asks for {@code millis}, then waits until all asked is at an end. */
-    void run(double millis) {
+    /**
+     * Asks for {@code millis}, and on until nothing has happened for a while, {@code longest} milliseconds at most; then
+     * waits until all asked is at an end.
+     *
+     * @param quietFor milliseconds since the last event ended, 0 while one is under way
+     */
+    void run(double millis, double longest, DoubleSupplier quietFor) {
         double start = System.nanoTime() / 1e6;
         double next = start;
-        while (next < start + millis) {
+        while (next < start + millis || next < start + millis + longest && quietFor.getAsDouble() < AFTER_EVENTS_MILLIS) {
             double now = System.nanoTime() / 1e6;
             if (next > now) {
                 LockSupport.parkNanos((long) ((next - now) * 1e6));
--- a/rehearsal/src/main/java/gradereach/rehearsal/Rehearsal.java
+++ b/rehearsal/src/main/java/gradereach/rehearsal/Rehearsal.java
@@ -11,7 +11,6 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.BindException;
@@ -39,6 +38,11 @@
 /** Plays a scripted day: stand-ins and front ends as processes of their own, clients here, then the auditor. */
 public final class Rehearsal {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long FRONT_ENDS_SECONDS = 20; // to answer what they hold
+    private static final long STAND_INS_SECONDS = 10;
+    private static final long LAST_EVENTS_SECONDS = 5;
+    /** A day lasts until its events have come to their end, the start of a front end included: 30 s at most. */
+    private static final double LONGEST_EVENT_MILLIS = 30_000;
 
     /** A script that cannot be played; the message names the place. */
     public static final class BadScript extends Exception {
@@ -54,7 +58,12 @@
     private final List<String> frontEndCommand;
     private final PrintStream out;
     private final HttpClient client = HttpClient.newHttpClient();
-    private final List<Process> frontEnds = new ArrayList<>();
+    private final ChildProcesses standInProcesses = new ChildProcesses(TimeUnit.SECONDS.toMillis(STAND_INS_SECONDS));
+    private final ChildProcesses frontEnds = new ChildProcesses(TimeUnit.SECONDS.toMillis(FRONT_ENDS_SECONDS));
+    /** By number; one that was killed stands here until its next process serves. */
+    private final List<Process> serving = new ArrayList<>();
+    private final EventsUnderWay underWay = new EventsUnderWay();
+    private double longestEvent = LONGEST_EVENT_MILLIS;
     private final List<InetSocketAddress> addresses = new ArrayList<>();
     private final List<InetSocketAddress> grpcAddresses = new ArrayList<>();
     private final List<WebhookKey> keys = new ArrayList<>();
@@ -78,6 +87,12 @@
         return this;
     }
 
+    /** Has the day wait so long for events that are under way at its end. */
+    Rehearsal waitingForEvents(double millis) {
+        longestEvent = millis;
+        return this;
+    }
+
     /** A day shipped with the program by its name, or a file; checked against the schema. */
     public static JsonNode script(String nameOrFile) throws BadScript {
         JsonNode day = raw(nameOrFile);
@@ -141,15 +156,8 @@
         }
         transcript = new Transcript(folder.resolve("clients.jsonl"));
         Process standIns = standIns();
-        // A rehearsal that is itself ended takes its processes with it.
-        Thread ending = new Thread(() -> {
-            standIns.destroyForcibly();
-            List.copyOf(frontEnds).forEach(Process::destroyForcibly);
-        });
-        Runtime.getRuntime().addShutdownHook(ending);
         ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
-        try (BufferedReader said = new BufferedReader(new InputStreamReader(standIns.getInputStream(),
-                StandardCharsets.UTF_8))) {
+        try (BufferedReader said = standIns.inputReader(StandardCharsets.UTF_8)) {
             String[] words = String.valueOf(said.readLine()).split(" ");
             if (words.length != 4) {
                 throw new IOException("stand-ins did not start: see " + folder.resolve("stand-ins.log"));
@@ -177,28 +185,23 @@
                     timer.schedule(() -> event(event, crowd, control, timer), event.path("at_ms").asLong(),
                             TimeUnit.MILLISECONDS);
                 }
-                crowd.run(day.path("length_ms").asDouble());
+                crowd.run(day.path("length_ms").asDouble(), longestEvent, underWay::quietFor);
                 if (alerts != null) {
                     alerts.end();
                 }
             }
             Thread.sleep(day.path("clients").path("async").asDouble(0) > 0 ? 1500 : 200);
         } finally {
-            timer.shutdownNow();
-            for (Process frontEnd : frontEnds) {
-                frontEnd.destroy();
-            }
-            for (Process frontEnd : frontEnds) {
-                if (!frontEnd.waitFor(20, TimeUnit.SECONDS)) {
-                    frontEnd.destroyForcibly();
-                }
+            for (String event : underWay.list()) {
+                transcript.write("cut-short", "what", "not at its end when the day was: " + event);
             }
+            timer.shutdownNow();
+            frontEnds.close();
+            timer.awaitTermination(LAST_EVENTS_SECONDS, TimeUnit.SECONDS);
             standIns.getOutputStream().close();
-            if (!standIns.waitFor(10, TimeUnit.SECONDS)) {
-                standIns.destroyForcibly();
-            }
+            standIns.waitFor(STAND_INS_SECONDS, TimeUnit.SECONDS);
+            standInProcesses.close();
             transcript.close();
-            Runtime.getRuntime().removeShutdownHook(ending);
         }
         Auditor auditor = auditor();
         auditor.read(folder.resolve("clients.jsonl"));
@@ -231,7 +234,7 @@
         List<String> command = new ArrayList<>(javaCommand("gradereach.standins.StandInProcess"));
         command.add(file.toString());
         command.add(folder.resolve("stand-ins.jsonl").toString());
-        return new ProcessBuilder(command).redirectError(folder.resolve("stand-ins.log").toFile()).start();
+        return standInProcesses.start(new ProcessBuilder(command).redirectError(folder.resolve("stand-ins.log").toFile()));
     }
 
     private ObjectNode deployment(int me, int count, int roster, int control, int port) {
@@ -333,9 +336,9 @@
             command.addAll(List.of(day.path("front_end_fault").asText(), "warm"));
         }
         command.add(folder.resolve("fe-" + i + ".json").toString());
-        Process made = new ProcessBuilder(command)
-                .redirectError(ProcessBuilder.Redirect.appendTo(folder.resolve("fe-" + i + ".log").toFile())).start();
-        BufferedReader said = new BufferedReader(new InputStreamReader(made.getInputStream(), StandardCharsets.UTF_8));
+        Process made = frontEnds.start(new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.appendTo(folder.resolve("fe-" + i + ".log").toFile())));
+        BufferedReader said = made.inputReader(StandardCharsets.UTF_8);
         String line = said.readLine();
         if (line == null || !line.startsWith("listening ")) {
             throw new IOException("front end did not start: see " + folder.resolve("fe-" + i + ".log"));
@@ -347,10 +350,10 @@
         drain.setDaemon(true);
         drain.start();
         synchronized (this) {
-            if (i < frontEnds.size()) {
-                frontEnds.set(i, made);
+            if (i < serving.size()) {
+                serving.set(i, made);
             } else {
-                frontEnds.add(made);
+                serving.add(made);
                 addresses.add(at);
                 if (grpc != null) {
                     grpcAddresses.add(grpc);
@@ -366,7 +369,7 @@
     /** The whole process stands still, or goes on. What it could not do meanwhile is not held against it. */
     private void signal(int fe, String what) throws IOException, InterruptedException {
         transcript.write("killed", "fe", "fe-" + fe, "signal", what);
-        new ProcessBuilder("kill", "-" + what, Long.toString(frontEnds.get(fe).pid())).start().waitFor();
+        new ProcessBuilder("kill", "-" + what, Long.toString(serving.get(fe).pid())).start().waitFor();
     }
 
     private void event(JsonNode event, Crowd crowd, int control, ScheduledExecutorService timer) {
@@ -375,6 +378,7 @@
         if (alerts != null) {
             alerts.happened(kind);
         }
+        underWay.begins(event);
         out.println(String.format("%6.1f s  %s %s", event.path("at_ms").asDouble() / 1000, kind,
                 event.toString().replaceAll(".*\"kind\":\"[^\"]*\",?", "").replace("}", "").replace("\"", "")));
         try {
@@ -398,7 +402,7 @@
                     }
                     Files.write(file, JSON.writeValueAsBytes(plan));
                     transcript.write("killed", "fe", "fe-" + fe);
-                    frontEnds.get(fe).destroyForcibly().waitFor();
+                    serving.get(fe).destroyForcibly().waitFor();
                     transcript.write("killed", "fe", "fe-" + fe);
                     Thread.sleep(length);
                     startFrontEnd(fe);
@@ -423,6 +427,8 @@
         } catch (IOException | InterruptedException e) {
             out.println("event failed: " + e.getMessage());
             transcript.write("event-failed", "kind", kind);
+        } finally {
+            underWay.ended(event);
         }
     }
 }
--- a/rehearsal/src/main/java/gradereach/rehearsal/soak/FrontEndProcess.java
+++ b/rehearsal/src/main/java/gradereach/rehearsal/soak/FrontEndProcess.java
@@ -1,5 +1,6 @@
 package gradereach.rehearsal.soak;
 
+import gradereach.rehearsal.ChildProcesses;
 import gradereach.standins.faults.ConnectionEvent;
 import gradereach.standins.faults.FaultShim;
 import gradereach.standins.faults.SystemFault;
@@ -42,18 +43,19 @@
     /**
      * Returns once it serves.
      *
+     * @param processes are those of the soak: this one is among them from its start
      * @param command starts it
      * @param config is written with {@code json}
      * @param shim makes its system calls fail as {@code faults} say
      */
-    public FrontEndProcess(List<String> command, Path config, String json, FaultShim shim, List<SystemFault> faults, long seed)
+    public FrontEndProcess(ChildProcesses processes, List<String> command, Path config, String json, FaultShim shim, List<SystemFault> faults, long seed)
             throws IOException, InterruptedException, NotReady {
         this.config = Files.writeString(config, json);
         counts = Path.of(config + ".faults");
         ProcessBuilder start = new ProcessBuilder(command).redirectErrorStream(true);
         start.environment().put("EDGE_CONFIG", config.toString());
         shim.load(start, faults, seed, counts); // without a fault as well: it records the connections
-        process = start.start();
+        process = processes.start(start);
         CompletableFuture<InetSocketAddress> listening = new CompletableFuture<>();
         Thread reader = new Thread(() -> read(listening), "log of " + config.getFileName());
         reader.setDaemon(true);
@@ -64,6 +66,9 @@
     private InetSocketAddress awaitReady(CompletableFuture<InetSocketAddress> listening) throws InterruptedException, NotReady {
         try {
             return listening.get(READY_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            process.destroyForcibly();
+            throw e;
         } catch (ExecutionException e) {
             throw new NotReady(e.getCause().getMessage());
         } catch (TimeoutException e) {
--- a/rehearsal/src/main/java/gradereach/rehearsal/soak/Soak.java
+++ b/rehearsal/src/main/java/gradereach/rehearsal/soak/Soak.java
@@ -1,5 +1,6 @@
 package gradereach.rehearsal.soak;
 
+import gradereach.rehearsal.ChildProcesses;
 import gradereach.standins.faults.FaultShim;
 import gradereach.standins.faults.SystemFault;
 import gradereach.standins.frames.ChangelogServer;
@@ -67,6 +68,8 @@
     private final List<Node> all = Collections.synchronizedList(new ArrayList<>());
     private final List<String> crashes = Collections.synchronizedList(new ArrayList<>());
     private final Map<Trouble, Long> played = new EnumMap<>(Trouble.class);
+    /** Killed at once where the soak is ended by a signal; what it ends itself has no time to lose. */
+    private final ChildProcesses processes = new ChildProcesses(0);
     private final ExecutorService scripts = Executors.newCachedThreadPool();
     private volatile boolean out;
     private final List<Span> outages = Collections.synchronizedList(new ArrayList<>());
@@ -172,7 +175,7 @@
         List<SystemFault> faults = draw.faults.values().stream().flatMap(List::stream).toList();
         FrontEndProcess process;
         try {
-            process = new FrontEndProcess(plan.command(), folder.resolve(name + ".json"), config(name, 0), shim, faults, draw.seed);
+            process = new FrontEndProcess(processes, plan.command(), folder.resolve(name + ".json"), config(name, 0), shim, faults, draw.seed);
         } catch (FrontEndProcess.NotReady e) {
             crashes.add(name + " under " + draw.faults + ": " + e.getMessage());
             return;
@@ -392,6 +395,7 @@
     public void close() {
         scripts.shutdownNow();
         all.forEach(node -> node.process().close());
+        processes.close();
         loops.close();
     }
 }
--- a/rehearsal/src/test/java/gradereach/rehearsal/RehearsalEndTest.java
+++ b/rehearsal/src/test/java/gradereach/rehearsal/RehearsalEndTest.java
@@ -40,7 +40,7 @@
         day.put("length_ms", 1500).put("front_ends", 1);
         day.putArray("events").addObject().put("at_ms", 300).put("kind", "kill_front_end").put("fe", 0).put("for_ms", 100);
         return new Rehearsal(day, folder.resolve("play"), List.of("sh", command.toString()),
-                new PrintStream(PrintStream.nullOutputStream())).run();
+                new PrintStream(PrintStream.nullOutputStream())).waitingForEvents(500).run();
     }
 
     private ProcessHandle starting() throws Exception {
--- a/rehearsal/src/test/java/gradereach/rehearsal/soak/FrontEndProcessTest.java
+++ b/rehearsal/src/test/java/gradereach/rehearsal/soak/FrontEndProcessTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gradereach.rehearsal.ChildProcesses;
 import gradereach.standins.faults.FaultShim;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -22,11 +23,12 @@
     @Test
     void aStartThatIsInterruptedLeavesNoProcess() throws Exception {
         Path starting = folder.resolve("starting");
+        ChildProcesses processes = new ChildProcesses(0);
         FaultShim shim = FaultShim.compile(folder);
         CompletableFuture<Throwable> ended = new CompletableFuture<>();
         Thread starter = new Thread(() -> {
             try {
-                new FrontEndProcess(List.of("sh", "-c", "echo $$ > " + starting + ".tmp; mv " + starting + ".tmp " + starting
+                new FrontEndProcess(processes, List.of("sh", "-c", "echo $$ > " + starting + ".tmp; mv " + starting + ".tmp " + starting
                         + "; exec sleep 60"), folder.resolve("config.json"), "{}", shim, List.of(), 1);
                 ended.complete(null);
             } catch (Exception e) {
@@ -45,6 +47,7 @@
             assertFalse(process.isAlive());
         } finally {
             process.destroyForcibly();
+            processes.close();
         }
     }
 }
