--- a/cli/src/main/java/gradereach/cli/Main.java
+++ b/cli/src/main/java/gradereach/cli/Main.java
@@ -261,9 +261,11 @@
     @Command(name = "rehearse", mixinStandardHelpOptions = true,
             description = "Play a scripted day with front ends and stand-ins as processes, and judge the rules.",
             footer = {"", "Days: quick, quiet-day, short-day, grpc-day, bad-day, bad-day-kills, reservations, troubles/KIND, or a file.",
-                "Exits with 0 only when all rules were kept."},
+                "Exits with 0 only when all rules were kept; with 3 where none was broken and a play could not tell all."},
             subcommands = SoakCommand.class)
     static final class Rehearse implements Callable<Integer> {
+        /** Exit code where no rule was broken and a play could not tell all of it. */
+        private static final int VOID = 3;
         @Spec
         private CommandSpec spec;
         @Parameters(paramLabel = "DAY", arity = "0..1")
@@ -288,6 +290,7 @@
                 return 2;
             }
             boolean kept = true;
+            boolean decided = true;
             for (int i = 0; i < times; i++) {
                 Path folder = keep != null ? keep.resolve(times > 1 ? Integer.toString(i + 1) : "")
                         : Files.createTempDirectory("rehearsal");
@@ -306,10 +309,12 @@
                 }
                 found.counts().forEach((what, count) -> System.out.println("  " + what + ": " + count));
                 found.verdicts().forEach(System.out::println);
-                kept &= found.kept();
+                found.undecided().forEach(why -> System.out.println("not decided: " + why));
+                decided &= found.decided();
+                kept &= found.kept() || !found.decided();
             }
-            System.out.println(kept ? "PASS" : "FAIL");
-            return kept ? 0 : 1;
+            System.out.println(!kept ? "FAIL" : decided ? "PASS" : "VOID");
+            return !kept ? 1 : decided ? 0 : VOID;
         }
     }
 
--- a/client/src/main/java/gradereach/client/GradereachClient.java
+++ b/client/src/main/java/gradereach/client/GradereachClient.java
@@ -85,7 +85,7 @@
 
     /** By gRPC; front ends as {@code host:port} of their gRPC listeners. */
     public static GradereachClient grpc(WebhookKey key, List<String> fronts) {
-        return new GradereachClient(new GrpcWay(key), fronts, new Random());
+        return new GradereachClient(Way.grpc(key), fronts, new Random());
     }
 
     /** @param input an inference request object of the protocol; the future holds the response object */
--- a/client/src/main/java/gradereach/client/GrpcWay.java
+++ b/client/src/main/java/gradereach/client/GrpcWay.java
@@ -15,6 +15,8 @@
 import io.grpc.Metadata;
 import io.grpc.Status;
 import io.grpc.netty.NettyChannelBuilder;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -37,18 +39,29 @@
     private static final Metadata.Key<String> STOPPING = key("gradereach-stopping");
     private final Map<String, ManagedChannel> channels = new ConcurrentHashMap<>();
     private final WebhookKey signer;
+    private final Function<String, ManagedChannel> connects;
 
-    GrpcWay(WebhookKey signer) {
+    /** @param connects makes the channel to an address */
+    GrpcWay(WebhookKey signer, Function<String, ManagedChannel> connects) {
         this.signer = signer;
+        this.connects = connects;
     }
 
     private static Metadata.Key<String> key(String name) {
         return Metadata.Key.of(name, Metadata.ASCII_STRING_MARSHALLER);
     }
 
-    private static ManagedChannel channel(String address) {
-        // Without a policy the library repeats a call by itself only where the server proves not to have processed it.
-        return NettyChannelBuilder.forTarget(address).usePlaintext().build();
+    /** Without a policy the library repeats a call by itself only where the server proves not to have processed it. */
+    private static NettyChannelBuilder plaintext(String address) {
+        return NettyChannelBuilder.forTarget(address).usePlaintext();
+    }
+
+    static ManagedChannel channel(String address) {
+        return plaintext(address).build();
+    }
+
+    static ManagedChannel channel(String address, EventLoopGroup loops) {
+        return plaintext(address).eventLoopGroup(loops).channelType(NioSocketChannel.class).directExecutor().build();
     }
 
     @Override
@@ -61,7 +74,7 @@
         headers.put(key(CallSignature.SIGNATURE), KeyRing.header(List.of(signer), inference.id(), at,
                 CallSignature.signed(METHOD, CallSignature.digest(request))));
         HeadWritten head = new HeadWritten();
-        ClientCall<ModelInferRequest, ModelInferResponse> call = channels.computeIfAbsent(address, GrpcWay::channel).newCall(
+        ClientCall<ModelInferRequest, ModelInferResponse> call = channels.computeIfAbsent(address, connects).newCall(
                 GRPCInferenceServiceGrpc.getModelInferMethod(),
                 CallOptions.DEFAULT.withStreamTracerFactory(head)
                         .withDeadlineAfter((long) (left * 1000), TimeUnit.MICROSECONDS));
@@ -92,7 +105,7 @@
                 .putParameters(CallSignature.SIGNATURE, text(KeyRing.header(List.of(signer), inference.id(), at,
                         CallSignature.signed(STREAMED, CallSignature.digest(bare))))).build();
         HeadWritten head = new HeadWritten();
-        ClientCall<ModelInferRequest, ModelStreamInferResponse> call = channels.computeIfAbsent(address, GrpcWay::channel).newCall(
+        ClientCall<ModelInferRequest, ModelStreamInferResponse> call = channels.computeIfAbsent(address, connects).newCall(
                 GRPCInferenceServiceGrpc.getModelStreamInferMethod(),
                 CallOptions.DEFAULT.withStreamTracerFactory(head)
                         .withDeadlineAfter((long) (left * 1000), TimeUnit.MICROSECONDS));
--- a/client/src/main/java/gradereach/client/Way.java
+++ b/client/src/main/java/gradereach/client/Way.java
@@ -1,6 +1,7 @@
 package gradereach.client;
 
 import gradereach.webhook.WebhookKey;
+import io.netty.channel.EventLoopGroup;
 import java.util.function.Consumer;
 
 /** One protocol's way to a front end: single tries, for those who script their repeats themselves. Any thread; nothing blocks. */
@@ -30,7 +31,12 @@
 
     /** By gRPC; addresses are those of gRPC listeners. */
     static Way grpc(WebhookKey key) {
-        return new GrpcWay(key);
+        return new GrpcWay(key, GrpcWay::channel);
+    }
+
+    /** The same on threads of the caller's: ends and parts are told by the one that reads them, which must not be held up. */
+    static Way grpc(WebhookKey key, EventLoopGroup loops) {
+        return new GrpcWay(key, address -> GrpcWay.channel(address, loops));
     }
 
     @Override
--- a/rehearsal/src/main/java/gradereach/rehearsal/Crowd.java
+++ b/rehearsal/src/main/java/gradereach/rehearsal/Crowd.java
@@ -7,6 +7,7 @@
 import gradereach.http2.Exchange.End;
 import gradereach.http2.Http2Pool;
 import gradereach.protocol.inference.ModelInferRequest;
+import gradereach.standins.LagWatch;
 import gradereach.standins.Transcript;
 import gradereach.webhook.KeyRing;
 import gradereach.webhook.WebhookKey;
@@ -76,7 +77,7 @@
         run = Long.toHexString(chance.nextLong() >>> 40);
         for (int i = 0; i < day.path("customers").size(); i++) {
             JsonNode c = day.path("customers").path(i);
-            byGrpc.add(Way.grpc(keys.get(i)));
+            byGrpc.add(Way.grpc(keys.get(i), loops));
             customers.add(new Customer(c.path("name").asText(), keys.get(i), c.path("share").asDouble(1)));
         }
         for (JsonNode g : day.path("model_groups")) {
@@ -157,6 +158,7 @@
      * @param quietFor milliseconds since the last event ended, 0 while one is under way
      */
     void run(double millis, double longest, DoubleSupplier quietFor) {
+        LagWatch.watch(loops, "clients", transcript);
         double start = System.nanoTime() / 1e6;
         double next = start;
         while (next < start + millis || next < start + millis + longest && quietFor.getAsDouble() < AFTER_EVENTS_MILLIS) {
--- a/standins/src/main/java/gradereach/standins/StandInFleet.java
+++ b/standins/src/main/java/gradereach/standins/StandInFleet.java
@@ -81,6 +81,7 @@
         control.createContext("/fault", this::fault);
         control.createContext("/answers", this::receive);
         control.start();
+        LagWatch.watch(loops, "stand-ins", transcript);
         timer.scheduleWithFixedDelay(transcript::flush, 100, 100, TimeUnit.MILLISECONDS);
     }
 
--- a/standins/src/main/java/gradereach/standins/StandInProcess.java
+++ b/standins/src/main/java/gradereach/standins/StandInProcess.java
@@ -8,6 +8,7 @@
     private StandInProcess() { }
 
     public static void main(String[] args) throws Exception {
+        StandInWarmUp.run();
         try (StandInFleet fleet = new StandInFleet(new ObjectMapper().readTree(Path.of(args[0]).toFile()),
                 Path.of(args[1]))) {
             System.out.println("roster " + fleet.rosterPort() + " control " + fleet.controlPort());
--- /dev/null
+++ b/standins/src/main/java/gradereach/standins/StandInWarmUp.java
@@ -0,0 +1,108 @@
+package gradereach.standins;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gradereach.protocol.inference.ModelInferRequest;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http2.DefaultHttp2DataFrame;
+import io.netty.handler.codec.http2.DefaultHttp2Headers;
+import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2MultiplexHandler;
+import io.netty.handler.codec.http2.Http2StreamChannelBootstrap;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Has a small fleet of its own take forwards, orders and questions before the real one begins. A stand-in that loads its
+ * classes at the first forwards dates them half a second late beside a busy machine's other processes.
+ */
+final class StandInWarmUp {
+    private static final int ROUNDS = 40;
+    private static final long LONGEST_MILLIS = 5000;
+    private static final String INPUT = "{\"inputs\":[],\"parameters\":{\"work_ms\":0.1}}";
+    private static final String FLEET = """
+            {"executors": 1, "model_groups": [{"name": "r", "repeat": "retriable"}, {"name": "d", "repeat": "deduped"}],
+             "models": [{"name": "r-*", "group": "r", "load_ms": 1}, {"name": "d-*", "group": "d", "load_ms": 1}]}""";
+
+    private StandInWarmUp() { }
+
+    static void run() throws IOException, InterruptedException {
+        Path transcript = Files.createTempFile("warm-up", ".jsonl");
+        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (StandInFleet fleet = new StandInFleet(new ObjectMapper().readTree(FLEET), transcript)) {
+            Channel connection = connect(loops, fleet.addresses().get(0));
+            for (int i = 0; i < ROUNDS; i++) {
+                askAll(connection, i);
+            }
+            connection.close();
+        } finally {
+            loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+            Files.delete(transcript);
+        }
+    }
+
+    private static Channel connect(EventLoopGroup loops, String address) throws InterruptedException {
+        int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+        return new Bootstrap().group(loops).channel(NioSocketChannel.class).handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel made) {
+                made.pipeline().addLast(Http2FrameCodecBuilder.forClient().build(),
+                        new Http2MultiplexHandler(new ChannelInboundHandlerAdapter()));
+            }
+        }).connect("127.0.0.1", port).sync().channel();
+    }
+
+    private static void askAll(Channel connection, int round) throws InterruptedException {
+        byte[] json = INPUT.getBytes(StandardCharsets.UTF_8);
+        byte[] none = "{}".getBytes(StandardCharsets.UTF_8);
+        byte[] grpc = ModelInferRequest.newBuilder().setModelName("r-0").build().toByteArray();
+        byte[] framed = ByteBuffer.allocate(5 + grpc.length).put((byte) 0).putInt(grpc.length).put(grpc).array();
+        List<Ask> asks = List.of(new Ask("/v2/health/ready", none), new Ask("/v2/outcomes/warm-up-" + round, none),
+                new Ask("/v2/repository/models/r-0/load", none), new Ask("/v2/repository/models/d-0/load", none),
+                new Ask("/v2/models/r-0/infer", json), new Ask("/v2/models/d-0/infer", json),
+                new Ask("/v2/models/unknown/infer", json), new Ask("/v2/repository/models/r-0/unload", none),
+                new Ask("/inference.GRPCInferenceService/ModelInfer", framed),
+                new Ask("/inference.GRPCInferenceService/ModelStreamInfer", framed));
+        CountDownLatch ends = new CountDownLatch(asks.size());
+        for (Ask ask : asks) {
+            send(connection, ask, "warm-up-" + round, ends);
+        }
+        ends.await(LONGEST_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private record Ask(String path, byte[] body) { }
+
+    private static void send(Channel connection, Ask ask, String id, CountDownLatch ends) throws InterruptedException {
+        Channel stream = new Http2StreamChannelBootstrap(connection).handler(new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                ReferenceCountUtil.release(message);
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext ctx) {
+                ends.countDown();
+            }
+        }).open().sync().getNow();
+        stream.write(new DefaultHttp2HeadersFrame(new DefaultHttp2Headers().method("POST").path(ask.path).scheme("http")
+                .authority("warm-up").add("x-request-id", id).add("idempotency-key", "nobody/" + id + ask.path)
+                .add("user-agent", "gradereach/warm-up").addInt("content-length", ask.body.length)));
+        stream.writeAndFlush(new DefaultHttp2DataFrame(Unpooled.wrappedBuffer(ask.body), true));
+    }
+}
