An idle executor is tried after one slow answer, not shut for as long as a client waits

Seen: an inference held for its whole 3 s beside an idle executor that had its model, then shed for want of room. Cause, by a test on a clock of its own: takes() multiplies the expected answer time by the executor's slowness. Where few answers tell, one slow answer counts in both: usual answers of 5 to 10 ms and one of 1,500 ms make 505 ms expected times 34, more than any client waits, and only time brings that down. Change: past half its SLO time an inference is tried at an executor that has nothing of ours, if the expected time fits. Tried and taken back: to compare an answer with what is expected after it; PolicyTest's row on halts fails with it. Result: PolicyTest.afterOneSlowAnswer... failed before in its row of 1,500 ms after one usual answer, passes now.

--- a/core/src/main/java/gradereach/Policy.java
+++ b/core/src/main/java/gradereach/Policy.java
@@ -489,13 +489,23 @@
         double distrust = ex.distrust.value(now, Health.DISTRUST_SPAN);
         boolean yields = now - pressedAt < PRESSED && worth(inf) < 0.7 * pressed;
         return now >= c.shunnedUntil && rules.mayForward(inf, ex, expected(c.model), now)
-                && expected(c.model) * health.stretch(ex, now) < inf.leavesAt - now
+                && presentAnswerTime(c, inf) < inf.leavesAt - now
                 && ex.inFlight < health.limit(ex, now) * (yields ? 0.5 : 1)
                 && health.fleet.inFlight < Math.max(health.limit(health.fleet, now) * (yields ? 0.5 : 1),
                         ALL_BEAR * executors.size() * share.part)
                 && (distrust < 0.02 || chance.nextDouble() < Math.exp(-distrust));
     }
 
+    /**
+     * What an answer there is taken to need: as expected, times how slow the executor has been. Past the early point one
+     * that has nothing of ours is tried all the same. Guards against one slow answer among few, which counts in both
+     * factors, and shuts an idle executor for longer than a client waits; harms one inference at an executor that stalls.
+     */
+    private double presentAnswerTime(Copies c, Inference inf) {
+        boolean idle = c.executor.inFlight == 0 && now - inf.takenAt >= earlyPoint(inf);
+        return expected(c.model) * (idle ? 1 : health.stretch(c.executor, now));
+    }
+
     private static final double ALL_BEAR = 4; // so many an executor, from all front ends, are no crowd
     // So many are tried before answers tell: a start meets models to load, a low guess holds what could run.
     private static final double ALL_TRY = 16;
--- a/core/src/test/java/gradereach/PolicyTest.java
+++ b/core/src/test/java/gradereach/PolicyTest.java
@@ -28,6 +28,29 @@
         fe.end(2020, fe.forwards.get(fe.forwards.size() - 1), Outcome.RETURNED);
     }
 
+    /** Guards against one slow answer among few that shuts an idle executor for as long as a client waits. */
+    @ParameterizedTest
+    @CsvSource({"1, 600", "3, 600", "1, 1500", "10, 1500"})
+    void afterOneSlowAnswerAnIdleExecutorStillServes(int usualAnswers, double slowAnswer) {
+        FrontEnd fe = warm(1);
+        double now = 2100;
+        for (int i = 0; i < usualAnswers; i++) {
+            now = serve(fe, now, 5);
+        }
+        now = serve(fe, now, slowAnswer);
+        Inference next = fe.take(now + 10, FrontEnd.RETRIABLE, mdl);
+        fe.pass(now + 10 + FrontEnd.RETRIABLE.sloTime());
+        assertEquals(1, next.forwards.size());
+    }
+
+    /** One inference alone, answered after so long; returns when. */
+    private double serve(FrontEnd fe, double from, double took) {
+        Inference inf = fe.take(from, FrontEnd.RETRIABLE, mdl);
+        fe.pass(from + 5 + took);
+        fe.end(from + 5 + took, inf.forwards.get(0), Outcome.RETURNED);
+        return from + 10 + took;
+    }
+
     @Test
     void aQueueAsksWhatStandsBeforeItOrders() {
         FrontEnd fe = new FrontEnd().start(1, 3, 0);
