--- a/core/src/main/java/gradereach/Policy.java
+++ b/core/src/main/java/gradereach/Policy.java
@@ -673,7 +673,7 @@
     private static final double ASK_EVERY = 8000; // cheap beside a load, but each one asked must answer
     /** Orders go to the first in rendezvous order, so what stands does so on the first few. */
     private static final int ASK_DEPTH = 4;
-    private static final double ASK_PRICE = 0.028; // points an inference: four where each costs 0.007
+    private static final double ASK_PRICE = 0.05; // points: a twentieth of what an inference brings pays for questions
     private static final double ASK_PATIENCE = 15; // a few network trips; one that stalls is not waited for
 
     /** The executors in a model's rendezvous order; sorted anew where the fleet has changed. */
