Http2Pool withdraws what waits for flow control or the socket once it may not be sent

Cause: a request's time and its executor's lease were asked once, as it was handed to the HTTP/2 connection. Change: while the last frame's write is not done, it is asked again every 5 ms. What is not wanted is reset; where the connection's own buffer holds it the connection is closed, since what lies there cannot be taken back. The same on giving up. Without its last frame nothing ran: NOT_WRITTEN.

--- a/gateway/src/main/java/gradereach/http2/Http2Pool.java
+++ b/gateway/src/main/java/gradereach/http2/Http2Pool.java
@@ -75,6 +75,8 @@
         }
     }
 
+    /** How often a request whose last byte waits for flow control or for the socket is looked at. */
+    private static final long UNWRITTEN_LOOK_MILLIS = 5;
     /** A link silent for this long while a stream on it was given up is no longer used: above any usual pause. */
     private static final double SILENCE = 1000;
 
@@ -111,6 +113,8 @@
         private Http2StreamChannel stream;
         private double begunAt;
         private boolean written;
+        /** Of its last frame; null before that was handed to the connection. */
+        private ChannelFuture lastWrite;
         private boolean over;
 
         private Request(Http2Headers headers, byte[] body, Exchange exchange, BooleanSupplier wanted) {
@@ -149,13 +153,43 @@
                         tally.silent.increment();
                     }
                 }
+                end(written ? End.GIVEN_UP : End.NOT_WRITTEN, 0, null, null);
                 if (stream != null && stream.isActive()) {
-                    stream.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.CANCEL));
+                    resetStream();
                 }
-                end(written ? End.GIVEN_UP : End.NOT_WRITTEN, 0, null, null);
             });
         }
 
+        /**
+         * The peer hears that nobody waits. Where the request itself still waits for the socket that word would come after
+         * it, and both late: the connection, which its peer does not read, is closed instead.
+         */
+        private void resetStream() {
+            Channel connection = stream.parent();
+            boolean waitsForSocket = lastWrite != null && !lastWrite.isDone()
+                    && connection.unsafe().outboundBuffer() != null
+                    && connection.unsafe().outboundBuffer().totalPendingWriteBytes() > 0;
+            if (waitsForSocket) {
+                connection.close();
+            } else {
+                stream.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.CANCEL));
+            }
+        }
+
+        /** Looks at what is not written whole yet: once it may not be sent any more it is withdrawn. */
+        private void watchLastWrite() {
+            if (over || lastWrite.isDone()) {
+                return;
+            }
+            if (wanted.getAsBoolean()) {
+                loop.schedule(this::watchLastWrite, UNWRITTEN_LOOK_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
+            // Without its last frame the peer has no whole request.
+            end(End.NOT_WRITTEN, 0, null, null);
+            resetStream();
+        }
+
         private void end(End end, int status, Http2Headers answer, byte[] content) {
             if (over) {
                 return;
@@ -206,12 +240,13 @@
                     }
                 };
                 if (body.length == 0) {
-                    stream.writeAndFlush(new DefaultHttp2HeadersFrame(headers, true)).addListener(failed);
+                    lastWrite = stream.writeAndFlush(new DefaultHttp2HeadersFrame(headers, true));
                 } else {
                     stream.write(new DefaultHttp2HeadersFrame(headers, false)).addListener(failed);
-                    stream.writeAndFlush(new DefaultHttp2DataFrame(Unpooled.wrappedBuffer(body), true))
-                            .addListener(failed);
+                    lastWrite = stream.writeAndFlush(new DefaultHttp2DataFrame(Unpooled.wrappedBuffer(body), true));
                 }
+                lastWrite.addListener(failed);
+                watchLastWrite();
             });
         }
     }
