A refusal of a message that was not read to its end is not lost to a reset

Cause: after 408, 413, 431 and 400 the gateway closed a connection with bytes unread; the system resets it then, and a client that still writes its body sees a broken pipe in place of the answer. Change: the gateway shuts its own side and drops what comes until the client closes, 2 s at most (RFC 9112, 9.6). Result: GatewayTest.aRefusalReachesAClientThatGoesOnWriting, 413 and 431: both rows failed before (Broken pipe), pass.

--- a/gateway/src/main/java/gradereach/front/MessageHandler.java
+++ b/gateway/src/main/java/gradereach/front/MessageHandler.java
@@ -60,8 +60,8 @@
         boolean keepAlive = HttpUtil.isKeepAlive(request);
         if (!request.decoderResult().isSuccess()) {
             boolean long_ = String.valueOf(request.decoderResult().cause()).contains("TooLong");
-            refuse(ctx, long_ ? 431 : 400, long_ ? "head-too-large" : "bad-http",
-                    long_ ? "the head is larger than allowed" : "no proper HTTP", false);
+            refuseUnread(ctx, long_ ? 431 : 400, long_ ? "head-too-large" : "bad-http",
+                    long_ ? "the head is larger than allowed" : "no proper HTTP");
             return;
         }
         String path = request.uri();
@@ -145,7 +145,7 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event == MessageClock.TOO_SLOW) {
-            refuse(ctx, 408, "too-slow", "the message did not come whole in time", false);
+            refuseUnread(ctx, 408, "too-slow", "the message did not come whole in time");
         } else {
             ctx.fireUserEventTriggered(event);
         }
@@ -165,7 +165,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof io.netty.handler.codec.TooLongFrameException) {
-            refuse(ctx, 413, "body-too-large", "the body is larger than allowed", false);
+            refuseUnread(ctx, 413, "body-too-large", "the body is larger than allowed");
         } else {
             ctx.close();
         }
@@ -178,6 +178,22 @@
         send(ctx, response, keepAlive);
     }
 
+    /** Of a message that was not read to its end: its client may go on writing, and no other message follows. */
+    private void refuseUnread(ChannelHandlerContext ctx, int status, String word, String why) {
+        intake.refused(word);
+        FullHttpResponse response = response(status, FinalAnswer.refusal(status, word, why), "application/problem+json");
+        messageClock.answered();
+        response.headers().set(HttpHeaderNames.CONNECTION, "close");
+        messageClock.stop();
+        ctx.writeAndFlush(response).addListener(write -> {
+            if (write.isSuccess()) {
+                LingeringClose.close(ctx.channel());
+            } else {
+                ctx.close();
+            }
+        });
+    }
+
     static FullHttpResponse response(int status, byte[] body, String type) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
--- a/gateway/src/test/java/gradereach/serve/GatewayTest.java
+++ b/gateway/src/test/java/gradereach/serve/GatewayTest.java
@@ -174,6 +174,24 @@
         assertEquals(0, gateway.counts().value("inferences_taken"));
     }
 
+    /** Guards against a refusal that is lost to a reset, since its client had not yet written all of its body. */
+    @ParameterizedTest
+    @CsvSource({"x, 413", "LONG, 431"})
+    void aRefusalReachesAClientThatGoesOnWriting(String host, int status) throws IOException {
+        byte[] piece = new byte[1 << 16];
+        int pieces = 200;
+        String head = head("x", piece).replace("host: x", "host: " + host.replace("LONG", "l".repeat(3000)))
+                .replace("content-length: " + piece.length, "content-length: " + (long) pieces * piece.length);
+        try (Socket socket = open()) {
+            write(socket, head, piece);
+            for (int i = 1; i < pieces; i++) {
+                socket.getOutputStream().write(piece);
+            }
+            assertEquals(status, read(socket).status);
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
     /** Slow heads, slow bodies, and bytes of no protocol: cut off at the stated time, nothing taken. */
     @ParameterizedTest
     @CsvSource({"head, 408", "body, 408", "preface, 0"})
