Client: a front end that said nothing for a call's whole time is not asked next

Cause: only a failed connection or a stop told the client's list that a front end is gone. One whose machine vanished (no FIN, no RST) was asked in its turn again and again, and each call waited out its deadline. Change: a call that ends by its client's clock, with nothing heard, counts as not reached. A front end that is there answers in time, if only that it cannot.

--- a/client/src/main/java/gradereach/client/GradereachClient.java
+++ b/client/src/main/java/gradereach/client/GradereachClient.java
@@ -159,6 +159,7 @@
         private int tries;
         private End last = End.of(End.Kind.NEVER_SENT, "no front end could be reached");
         private Way.Try underWay;
+        private FrontList.Front asked;
 
         Asked(Inference inference, double deadline, Repeats repeats, CompletableFuture<Object> answer, Consumer<Object> parts,
                 AtomicLong begun) {
@@ -179,6 +180,7 @@
                 later(fronts.nextAt());
                 return;
             }
+            asked = front;
             int number = ++tries;
             Consumer<End> then = end -> thread.execute(() -> ended(number, front, end));
             underWay = parts == null ? way.send(front.address, inference, deadline - now(), then)
@@ -221,6 +223,8 @@
         private void timeUp() {
             if (underWay != null) {
                 underWay.giveUp();
+                // A front end that is there answers in time, if only that it cannot: others are asked first from now on.
+                fronts.notReached(asked, now());
                 last = End.of(End.Kind.LOST, "no answer within its time");
             }
             finish();
--- a/client/src/test/java/gradereach/client/GradereachClientTest.java
+++ b/client/src/test/java/gradereach/client/GradereachClientTest.java
@@ -85,6 +85,24 @@
                         Duration.ofMillis(within));
     }
 
+    /** Guards against calls that wait out their time, one after the other, at a front end whose machine is gone. */
+    @ParameterizedTest
+    @ValueSource(strings = {"webhooks", "grpc"})
+    void aFrontEndThatSaidNothingIsNotAskedNext(String way) throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 50, java.net.InetAddress.getLoopbackAddress());
+                GradereachClient client = client(way, List.of("127.0.0.1:" + silent.getLocalPort(), addresses.get(way).get(0)))) {
+            int lost = 0;
+            for (int i = 0; i < 6; i++) {
+                try {
+                    ask(client, way, "look-1", 1, Effect.NONE, 1500).get();
+                } catch (ExecutionException e) {
+                    lost++;
+                }
+            }
+            assertTrue(lost <= 2, lost + " lost");
+        }
+    }
+
     /**
      * One front end closes in the middle, one address has nobody: reservations go elsewhere and none runs twice. One whose
      * connection closes without a word stays lost: nobody here remembers ids.
