A shed inference that was out at an executor is not told of missing room

Cause: one sentence for every shed. Callers whose inference an executor had, and did not answer in time, read "no room for it within its time". Status, outcome and the word on repeats are as before: a shed one may be repeated. Result: DeskTest.aShedInferenceIsToldWhetherItWasOut failed in its first row before, passes now.

--- a/gateway/src/main/java/gradereach/desk/Desk.java
+++ b/gateway/src/main/java/gradereach/desk/Desk.java
@@ -879,6 +879,9 @@
         });
     }
 
+    private static final String NO_ROOM = "no room for it within its time";
+    private static final String NO_ANSWER_HARMLESS = "no answer from an executor within its time; a repeat is harmless";
+
     @Override
     public void shed(Inference inf, double pause) {
         Life life = lives.get(inf.id);
@@ -890,7 +893,8 @@
             // This life never ran, but an earlier one of the same message may have: no word that a repeat is harmless.
             finish(life, unknown(life));
         } else {
-            finish(life, words.shed(life.memory.id, "no room for it within its time", pause));
+            boolean sent = life.flights.stream().anyMatch(flight -> flight.sent);
+            finish(life, words.shed(life.memory.id, sent ? NO_ANSWER_HARMLESS : NO_ROOM, pause));
         }
         drop(life);
     }
--- a/gateway/src/test/java/gradereach/desk/DeskTest.java
+++ b/gateway/src/test/java/gradereach/desk/DeskTest.java
@@ -66,6 +66,19 @@
         assertTrue(client.answeredAt <= clientLeavesAt - 40, client.answeredAt + " of " + clientLeavesAt);
     }
 
+    /** Guards against telling a caller of missing room where an executor had its inference and did not answer in time. */
+    @ParameterizedTest
+    @CsvSource({"true, no answer from an executor within its time", "false, no room for it within its time"})
+    void aShedInferenceIsToldWhetherItWasOut(boolean out, String detail) {
+        Client client = stage.ask("a", Stage.RETRIABLE, 1);
+        if (out) {
+            assertNotNull(stage.out());
+        }
+        stage.pass(stage.now + Stage.RETRIABLE.routeTimeout());
+        assertEquals("1 SHED", client.heard());
+        assertTrue(new String(client.answers.get(0).body()).contains(detail), new String(client.answers.get(0).body()));
+    }
+
     @Test
     void whatHasGoneAndWhatNobodyAsksForIsDropped() {
         stage.ask("a", Stage.RETRIABLE, 1);
