A log line names its failure where the exception has no message

Seen: "roster not read, the old one stays: null". The platform's HTTP client refuses without a message. Change: FailureText gives the kind and the first message of the causes, in every line that printed a bare message of a retry or of a close. Result: RosterWatchTest.aServerThatCannotBeReachedIsNamedAsTheCause failed before (null), passes now.

--- a/gateway/src/main/java/gradereach/ledger/disk/LedgerFolder.java
+++ b/gateway/src/main/java/gradereach/ledger/disk/LedgerFolder.java
@@ -1,5 +1,6 @@
 package gradereach.ledger.disk;
 
+import gradereach.counts.FailureText;
 import gradereach.ledger.LedgerBook;
 import gradereach.ledger.LedgerRecord;
 import gradereach.ledger.RecordCodec;
@@ -163,7 +164,7 @@
                 }
                 return end;
             }, () -> true, failure -> LOG.atWarn().addKeyValue("segment", segment)
-                    .log("torn tail not cut off yet: {}", String.valueOf(failure.getMessage())));
+                    .log("torn tail not cut off yet: {}", FailureText.of(failure)));
         } catch (IOException | RuntimeException e) {
             throw e;
         } catch (Exception e) {
--- a/gateway/src/main/java/gradereach/roster/RosterWatch.java
+++ b/gateway/src/main/java/gradereach/roster/RosterWatch.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.core.JsonFactory;
 import gradereach.counts.Counts;
+import gradereach.counts.FailureText;
 import gradereach.roster.EndpointSlices.BadRoster;
 import java.io.IOException;
 import java.io.InputStream;
@@ -147,7 +148,7 @@
                 failures.increment();
                 expires(clock.getAsDouble() + timing.validAfterFailure.toMillis());
                 LOG.atWarn().addKeyValue("from", file != null ? file : server).addKeyValue("wait_ms", wait)
-                        .log("roster not read, the old one stays: {}", String.valueOf(e.getMessage()));
+                        .log("roster not read, the old one stays: {}", FailureText.of(e));
                 wait = Math.min(LONGEST_WAIT, wait * 2);
             } catch (InterruptedException e) {
                 return;
--- a/gateway/src/main/java/gradereach/serve/Gateway.java
+++ b/gateway/src/main/java/gradereach/serve/Gateway.java
@@ -10,6 +10,7 @@
 import gradereach.claims.PeerFront;
 import gradereach.counts.Counts;
 import gradereach.counts.CountsSource;
+import gradereach.counts.FailureText;
 import gradereach.desk.Claims;
 import gradereach.delivery.Outbox;
 import gradereach.desk.Desk;
@@ -234,7 +235,7 @@
     private <T> T patiently(String what, Callable<T> step) throws IOException, InterruptedException {
         try {
             return StartRetry.run(step, () -> !stopping,
-                    failure -> LOG.atWarn().log("cannot {} yet: {}", what, String.valueOf(failure.getMessage())));
+                    failure -> LOG.atWarn().log("cannot {} yet: {}", what, FailureText.of(failure)));
         } catch (IOException | InterruptedException | RuntimeException e) {
             throw e;
         } catch (Exception e) {
@@ -354,7 +355,7 @@
             try {
                 ledger.close();
             } catch (IOException e) {
-                LOG.warn("ledger not closed: {}", e.getMessage());
+                LOG.warn("ledger not closed: {}", FailureText.of(e));
             }
         }
         outbox.close();
--- a/gateway/src/test/java/gradereach/roster/RosterWatchTest.java
+++ b/gateway/src/test/java/gradereach/roster/RosterWatchTest.java
@@ -1,11 +1,17 @@
 package gradereach.roster;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.AppenderBase;
 import com.sun.net.httpserver.HttpServer;
 import gradereach.counts.Counts;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -19,6 +25,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.slf4j.LoggerFactory;
 
 class RosterWatchTest {
     private static final RosterWatch.Timing TIMING =
@@ -46,6 +53,34 @@
         }
     }
 
+    /** Guards against "null" as the cause that an operator reads: a refused connection of the platform's client has no message. */
+    @Test
+    void aServerThatCannotBeReachedIsNamedAsTheCause() throws Exception {
+        int nobody;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            nobody = socket.getLocalPort();
+        }
+        Logger logger = (Logger) LoggerFactory.getLogger(RosterWatch.class);
+        BlockingQueue<String> said = new LinkedBlockingQueue<>();
+        AppenderBase<ILoggingEvent> appender = new AppenderBase<>() {
+            @Override
+            protected void append(ILoggingEvent event) {
+                said.add(event.getFormattedMessage());
+            }
+        };
+        appender.start();
+        logger.addAppender(appender);
+        try (RosterWatch watch = new RosterWatch(new RosterBook(new EndpointSlices(List.of()), (form, lines) -> { }), "test",
+                URI.create("http://127.0.0.1:" + nobody), null, () -> 0, (at, until) -> { }, new Counts())) {
+            watch.start();
+            String line = said.poll(20, TimeUnit.SECONDS);
+            assertTrue(line.contains("ConnectException"), line);
+            assertFalse(line.contains("null"), line);
+        } finally {
+            logger.detachAppender(appender);
+        }
+    }
+
     /** A watch on which nothing comes any more is begun anew, and the roster counts as complete no longer than was told. */
     @Test
     void aSilentWatchIsBegunAnew() throws Exception {
