DecisionLoop sleeps to its next timer where few are set

Change: up to 32 timers are looked through for the next one before a sleep of 50 ms at most. Result: a new row of DecisionLoopTest counts wake-ups (a counter that is new with it, so it could not run before).

--- a/gateway/src/main/java/gradereach/loop/DecisionLoop.java
+++ b/gateway/src/main/java/gradereach/loop/DecisionLoop.java
@@ -28,9 +28,11 @@
     /** A wheel's tick: a quarter of the shortest module tick in use, so alarms come within it. */
     private static final long TICK_MICROS = 256;
     private static final int TICKS = 8192; // two seconds a round: most timers end within one
-    /** Longest sleep while timers are set: the wheel cannot say which is next. */
+    /** Longest sleep while many timers are set: the wheel cannot say which is next. */
     private static final long NAP_NANOS = 500_000;
     private static final long SLEEP_NANOS = 50_000_000;
+    /** So many are looked through for the next one before a sleep; an idle front end has a handful. */
+    private static final int FEW_TIMERS = 32;
     /** Looks at the queues before it sleeps; some ten microseconds, less than a wake-up of a thread costs. */
     private static final int SPINS = 200;
     private static final double SLOW_TURN = 10; // milliseconds; a few of the module's ticks
@@ -41,6 +43,7 @@
     private final Counts.Limit doorLimit;
     private final LongAdder turns;
     private final LongAdder slowTurns;
+    private final LongAdder wakeUps;
     private final LongAdder events;
     private final DeadlineTimerWheel wheel;
     private final Long2ObjectHashMap<Timer> timers = new Long2ObjectHashMap<>();
@@ -63,6 +66,7 @@
         doorLimit = counts.limit("messages_at_the_door", door.capacity());
         turns = counts.counter("decision_turns");
         slowTurns = counts.counter("decision_turns_slow");
+        wakeUps = counts.counter("decision_wake_ups");
         events = counts.counter("decision_events");
         failed = counts.counter("event_failures");
         wheel = new DeadlineTimerWheel(TimeUnit.MICROSECONDS, micros(clock.now()), TICK_MICROS, TICKS);
@@ -201,11 +205,24 @@
         asleep = true;
         VarHandle.fullFence();
         if (ends.isEmpty() && door.isEmpty() && !stopping) {
-            LockSupport.parkNanos(this, wheel.timerCount() > 0 ? NAP_NANOS : SLEEP_NANOS);
+            LockSupport.parkNanos(this, sleepNanos());
+            wakeUps.increment();
         }
         asleep = false;
     }
 
+    private long sleepNanos() {
+        if (timers.size() > FEW_TIMERS) {
+            return NAP_NANOS;
+        }
+        double next = Double.POSITIVE_INFINITY;
+        for (Timer timer : timers.values()) {
+            next = Math.min(next, timer.at);
+        }
+        double millis = Math.max(0, next - clock.now());
+        return Math.min(SLEEP_NANOS, Math.max(NAP_NANOS, (long) (millis * 1_000_000)));
+    }
+
     private static long micros(double millis) {
         return (long) (millis * 1000);
     }
--- a/gateway/src/test/java/gradereach/loop/DecisionLoopTest.java
+++ b/gateway/src/test/java/gradereach/loop/DecisionLoopTest.java
@@ -42,6 +42,29 @@
         }
     }
 
+    /** Guards against an idle front end that takes a part of a core from whatever runs beside it. */
+    @Test
+    void oneThatHasOnlyFarTimersSleeps() throws InterruptedException {
+        Counts counts = new Counts();
+        Clock clock = Clock.system();
+        try (DecisionLoop loop = new DecisionLoop("test", clock, 16, counts, timers -> desk(timers, counts))) {
+            loop.start();
+            CountDownLatch set = new CountDownLatch(1);
+            loop.pass(desk -> {
+                loop.set(clock.now() + 60_000, (Runnable) () -> { });
+                set.countDown();
+            });
+            assertTrue(set.await(20, TimeUnit.SECONDS));
+            long before = counts.value("decision_wake_ups");
+            Thread.sleep(500);
+            assertTrue(counts.value("decision_wake_ups") - before <= 500 / SHORTEST_IDLE_SLEEP_MILLIS,
+                    () -> counts.value("decision_wake_ups") - before + " times awake");
+        }
+    }
+
+    /** Ten wake-ups a second cost nothing to speak of; the loop's own bound is 50 ms. */
+    private static final int SHORTEST_IDLE_SLEEP_MILLIS = 25;
+
     /** One that is asked for nothing. */
     private static Desk desk(Timers timers, Counts counts) {
         Router router = (Router) Proxy.newProxyInstance(Router.class.getClassLoader(), new Class<?>[] {Router.class},
