The soak does not decide what its late peers date, and says so

Cause: attempts, answers and drains are dated by the event loops of the peers, which beside builds came up to 641 ms late themselves: neither a breach nor its absence within that is shown. No bound was touched.

--- a/cli/src/main/java/gradereach/cli/Main.java
+++ b/cli/src/main/java/gradereach/cli/Main.java
@@ -45,6 +45,9 @@
         subcommands = {Main.Serve.class, Main.Check.class, Main.Call.class, Main.Keys.class, Main.StandIn.class,
             Main.Rehearse.class, Main.MeasureCommand.class, Main.Bench.class, LedgerCommand.class, AlertsCommand.class, MembersCommand.class, Main.VersionCommand.class, Main.Completion.class})
 public final class Main implements Runnable {
+    /** Exit code where no rule was broken and a play could not tell all of it. */
+    static final int VOID = 3;
+
     @Spec
     private CommandSpec spec;
 
@@ -264,8 +267,6 @@
                 "Exits with 0 only when all rules were kept; with 3 where none was broken and a play could not tell all."},
             subcommands = SoakCommand.class)
     static final class Rehearse implements Callable<Integer> {
-        /** Exit code where no rule was broken and a play could not tell all of it. */
-        private static final int VOID = 3;
         @Spec
         private CommandSpec spec;
         @Parameters(paramLabel = "DAY", arity = "0..1")
--- a/cli/src/main/java/gradereach/cli/SoakCommand.java
+++ b/cli/src/main/java/gradereach/cli/SoakCommand.java
@@ -18,7 +18,7 @@
 /** Plays soaks, one seed after the other. */
 @Command(name = "soak", mixinStandardHelpOptions = true,
         description = "Play front ends of the platform's form under drawn faults of peers, signals and system calls.",
-        footer = {"", "Exits with 0 only when no rule was broken and nothing crashed. Needs a C compiler (cc)."})
+        footer = {"", "Exits with 0 only when no rule was broken and nothing crashed; with 3 where that is so and not all can be told. Needs a C compiler (cc)."})
 final class SoakCommand implements Callable<Integer> {
     private static final String FRONT_END = "gradereach.platform.serve.PlatformProcess";
 
@@ -53,17 +53,20 @@
             System.err.println("--only, --without: nothing is left to be played");
             return 2;
         }
-        boolean kept = true;
+        boolean failed = false;
+        boolean decided = true;
         for (long next = seed; next < seed + seeds; next++) {
-            if (!play(next, troubles).kept()) {
-                kept = false;
+            SoakReport report = play(next, troubles);
+            decided &= report.decided();
+            if (!report.kept() && report.decided()) {
+                failed = true;
                 if (reduce) {
                     reduce(next, troubles);
                 }
             }
         }
-        System.out.println(kept ? "PASS" : "FAIL");
-        return kept ? 0 : 1;
+        System.out.println(failed ? "FAIL" : decided ? "PASS" : "VOID");
+        return failed ? 1 : decided ? 0 : Main.VOID;
     }
 
     private SoakReport play(long seed, Set<Trouble> troubles) throws IOException, InterruptedException {
@@ -83,7 +86,8 @@
         for (Trouble trouble : troubles) {
             Set<Trouble> fewer = EnumSet.copyOf(needed);
             fewer.remove(trouble);
-            if (!fewer.isEmpty() && !play(seed, fewer).kept()) {
+            SoakReport report = fewer.isEmpty() ? null : play(seed, fewer);
+            if (report != null && report.decided() && !report.kept()) {
                 needed = fewer;
             }
         }
--- a/rehearsal/src/main/java/gradereach/rehearsal/Auditor.java
+++ b/rehearsal/src/main/java/gradereach/rehearsal/Auditor.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.MappingIterator;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import gradereach.standins.Lags;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
--- a/standins/src/test/java/gradereach/standins/frames/RequestAuditorTest.java
+++ b/standins/src/test/java/gradereach/standins/frames/RequestAuditorTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import gradereach.standins.Lags;
 import gradereach.standins.faults.ConnectionEvent;
 import gradereach.standins.frames.RequestAuditor.Breach;
 import java.util.List;
@@ -49,6 +50,36 @@
         assertEquals(breach == null ? List.of() : List.of(breach), breaches());
     }
 
+    /** Guards against a breach that is none, and against a pass that is none, where those who date what they see were late. */
+    @ParameterizedTest
+    @CsvSource({"1400, NO_ANSWER, 0", "1560, NO_ANSWER, 0", "1540, , 1"})
+    void anAnswerThatIsDatedLateIsNotDecided(double lateFrom, Breach breach, int undecided) {
+        Lags lags = new Lags();
+        lags.add(lateFrom, lateFrom == 1400 ? 1590 : 1610);
+        RequestAuditor late = new RequestAuditor(500, lags);
+        late.asked("a", "n1", 0, 1000, true);
+        late.answered("a", 503, "", 1600);
+        for (int i = 0; i < 2; i++) {
+            assertEquals(breach == null ? List.of() : List.of(breach),
+                    late.findings(1e9).stream().map(RequestAuditor.Finding::breach).toList());
+            assertEquals(undecided, late.undecided().size());
+        }
+    }
+
+    /** The same of what comes to executors. */
+    @ParameterizedTest
+    @CsvSource({"1610, 3, 0", "1510, 2, 1", "1160, 1, 2", "1110, 0, 3"})
+    void anAttemptThatIsDatedLateIsNotDecided(double lateFrom, int breaches, int undecided) {
+        Lags lags = new Lags();
+        lags.add(lateFrom, 1710);
+        RequestAuditor late = new RequestAuditor(500, lags);
+        late.drains("s-1", 1000);
+        late.asked("a", "n1", 0, 1000, true);
+        late.attempt("s-1", "a", 1700, 0);
+        assertEquals(breaches, late.findings(1e9).stream().filter(finding -> finding.breach() != Breach.NO_ANSWER).count());
+        assertEquals(undecided, late.undecided().size());
+    }
+
     @Test
     void oneThatNeverComesIsMissed() {
         auditor.asked("a", "n1", 0, 1000, true);
