"Never seen" is proof where the executor fences the forward, not after five seconds

Cause: an executor that had not seen a forward 5 s after it could last be written was taken for one that never would. Nothing enforces that: what a connection has received is read whenever its reader gets to it. The stand-in reads it after the client was told, by the order of events alone.

Change: the question forbids the forward. An executor that has not seen it refuses it from then on for as long as its process lives, and says so (forward-fenced: yes); only that is proof, at once. "Never seen" without it proves nothing, whenever it is asked. The 5 s and the time of the last write are gone.

Why it works: the process that the forward was meant for either has begun it, and says so, or never begins it; the order of its own lock decides, no time. The next process has another name.

Checks: rows that took "never seen" after 5 s for proof were the fault; they ask for a fence, and the word without one must prove nothing. Rows about whose word proves nothing have both words now.

--- a/gateway/src/main/java/gradereach/desk/LedgerRecovery.java
+++ b/gateway/src/main/java/gradereach/desk/LedgerRecovery.java
@@ -67,8 +67,7 @@
             answerPromised(message, entry, at);
         }
         if (message.unknown() && Desk.careful(group)) {
-            inquiries.inquire(entry, message.model(),
-                    message.forwards().stream().map(open -> forwarded(open, group)).toList(), true);
+            inquiries.inquire(entry, message.model(), message.forwards().stream().map(this::forwarded).toList(), true);
         }
     }
 
@@ -100,9 +99,7 @@
         return ageUnknown ? Double.NEGATIVE_INFINITY : since;
     }
 
-    /** Nothing is written to an executor after its client's time. */
-    private InquiryBook.Forwarded forwarded(LedgerBook.Open open, ModelGroup group) {
-        double at = ledger.time().toModule(open.at());
-        return new InquiryBook.Forwarded(open.recipient(), open.forward(), at, at + group.routeTimeout());
+    private InquiryBook.Forwarded forwarded(LedgerBook.Open open) {
+        return new InquiryBook.Forwarded(open.recipient(), open.forward(), ledger.time().toModule(open.at()));
     }
 }
--- a/gateway/src/main/java/gradereach/desk/Life.java
+++ b/gateway/src/main/java/gradereach/desk/Life.java
@@ -76,7 +76,7 @@
         List<InquiryBook.Forwarded> open = new ArrayList<>(1);
         for (Flight f : flights) {
             if (f.sent && (f.forward.outcome == null || !f.forward.outcome.provesNotRun)) {
-                open.add(new InquiryBook.Forwarded(f.recipient, f.name(), f.forward.sentAt, f.stopAt));
+                open.add(new InquiryBook.Forwarded(f.recipient, f.name(), f.forward.sentAt));
             }
         }
         return open;
--- a/gateway/src/main/java/gradereach/inquiry/InquiryBook.java
+++ b/gateway/src/main/java/gradereach/inquiry/InquiryBook.java
@@ -14,11 +14,12 @@
 public final class InquiryBook {
     /** Milliseconds before each further question; the last one repeats. */
     private static final double[] WAITS = {100, 250, 500, 1000, 2000, 5000, 10_000};
-    /** After this an executor that has not seen a forward will not see it any more: its sender's connection is gone. */
-    private static final double ARRIVES_WITHIN = 5000;
 
-    /** What an executor says; GONE where it cannot be asked any more, since another one is met at its address. */
-    public enum Told { FINISHED, RUNNING, UNSEEN, NOTHING, GONE }
+    /**
+     * What an executor says: FENCED where it has not seen the forward and refuses it from now on, UNSEEN where it does not
+     * promise that; GONE where it cannot be asked any more, since another one is met at its address.
+     */
+    public enum Told { FINISHED, RUNNING, UNSEEN, FENCED, NOTHING, GONE }
 
     /** What a question came to: nothing yet, or for good. */
     public enum Known { NOT_YET, RAN, NEVER_RAN, NEVER_KNOWN }
@@ -27,14 +28,8 @@
      * A forward whose end nobody saw.
      *
      * @param intendedAt module time; NaN where no clock that goes on over a restart tells it
-     * @param writableUntil from when on its sender would not have written it any more, module time; NaN where unknown
      */
-    public record Forwarded(Recipient recipient, String forward, double intendedAt, double writableUntil) {
-        /** It may have been written until it came in question. */
-        public Forwarded(Recipient recipient, String forward, double intendedAt) {
-            this(recipient, forward, intendedAt, Double.NaN);
-        }
-    }
+    public record Forwarded(Recipient recipient, String forward, double intendedAt) { }
 
     /** One forward in question. */
     public static final class Question {
@@ -42,9 +37,6 @@
         public final Forwarded forwarded;
         /** When it was intended, or else first asked about: module time. */
         private final double since;
-        /** Nothing of it is written from then on: its sender has given it up or has ended, or its time is up. */
-        private final double heldSince;
-        private double askedAt;
         private int asked;
         private double due;
         private long turn;
@@ -53,25 +45,30 @@
         Question(Object about, Forwarded forwarded, double now) {
             this.about = about;
             this.forwarded = forwarded;
-            heldSince = forwarded.writableUntil < now ? forwarded.writableUntil : now;
             since = Double.isNaN(forwarded.intendedAt) ? now : forwarded.intendedAt;
         }
 
+        /** Another process has not seen the forward; the one that it was meant for may have. */
+        private boolean isOfAnother(double process) {
+            double intendedFor = forwarded.recipient.process();
+            return !Double.isNaN(process) && !Double.isNaN(intendedFor) && process != intendedFor;
+        }
+
+        /** Nothing: it may still arrive there, however long its sender has ended. */
+        private Known unseenBy(double process) {
+            return isOfAnother(process) ? Known.NEVER_KNOWN : Known.NOT_YET;
+        }
+
         /**
-         * What it proves that a process has not seen the forward. Only the process that it was meant for would know, only for
-         * as long as it remembers, and only if it was asked once the forward could no longer arrive: its word may be as old as
-         * the question.
+         * What it proves that a process has not seen the forward and refuses it from now on. Only the process that it was
+         * meant for would know, and only for as long as it remembers what it ran.
          */
-        private Known unseenBy(double process, double now, double remembered) {
-            double intendedFor = forwarded.recipient.process();
-            if (!Double.isNaN(process) && !Double.isNaN(intendedFor) && process != intendedFor) {
-                return Known.NEVER_KNOWN;
-            }
-            if (Double.isNaN(process) || askedAt - heldSince <= ARRIVES_WITHIN) {
+        private Known fencedBy(double process, double now, double remembered) {
+            if (Double.isNaN(process)) {
                 return Known.NOT_YET;
             }
             boolean remembers = !Double.isNaN(forwarded.intendedAt) && now - since < remembered;
-            return remembers && process == intendedFor ? Known.NEVER_RAN : Known.NEVER_KNOWN;
+            return remembers && process == forwarded.recipient.process() ? Known.NEVER_RAN : Known.NEVER_KNOWN;
         }
     }
 
@@ -125,7 +122,6 @@
             if (!next.over) {
                 underWay++;
                 next.asked++;
-                next.askedAt = now;
                 out.add(next);
             }
         }
@@ -145,7 +141,8 @@
         }
         Known known = switch (what) {
             case FINISHED -> Known.RAN;
-            case UNSEEN -> question.unseenBy(process, now, remembered);
+            case UNSEEN -> question.unseenBy(process);
+            case FENCED -> question.fencedBy(process, now, remembered);
             case RUNNING, NOTHING -> Known.NOT_YET;
             case GONE -> Known.NEVER_KNOWN;
         };
--- a/gateway/src/main/java/gradereach/link/ExecutorLinks.java
+++ b/gateway/src/main/java/gradereach/link/ExecutorLinks.java
@@ -199,6 +199,8 @@
 
     /** By which an executor's process tells itself from any other, in its answer to a question: a number that it drew at its start. */
     static final String PROCESS = "executor-process";
+    /** With {@code yes}: the process that answers "never seen" refuses the forward, unrun, should it come from now on. */
+    static final String FENCED = "forward-fenced";
     /** Milliseconds after which the answer to a question is not waited for any more. */
     private static final long QUESTION_PATIENCE = 2000;
     /** In place of a forward's name, which has a # in it: asked for what every answer tells of the process. */
@@ -207,15 +209,27 @@
     @Override
     public void inquire(Place place, String forward, Told then) {
         Http2Pool.Request request = pool(place).send("GET", "/v2/outcomes/" + encoded(forward), NOTHING, (how, status, headers, body) -> {
-            InquiryBook.Told what = how != Exchange.End.ANSWERED ? InquiryBook.Told.NOTHING
-                    : status == 200 ? InquiryBook.Told.FINISHED : status == 202 ? InquiryBook.Told.RUNNING
-                    : status == 404 ? InquiryBook.Told.UNSEEN : InquiryBook.Told.NOTHING;
+            InquiryBook.Told what = how == Exchange.End.ANSWERED ? told(status, headers) : InquiryBook.Told.NOTHING;
             double process = process(headers);
             toDesk.accept(desk -> then.told(what, process, body));
         }, "user-agent", agent);
         loops.next().schedule(request::giveUp, QUESTION_PATIENCE, TimeUnit.MILLISECONDS); // or it would hold its stream for good
     }
 
+    private static InquiryBook.Told told(int status, Http2Headers headers) {
+        return switch (status) {
+            case 200 -> InquiryBook.Told.FINISHED;
+            case 202 -> InquiryBook.Told.RUNNING;
+            case 404 -> isFenced(headers) ? InquiryBook.Told.FENCED : InquiryBook.Told.UNSEEN;
+            default -> InquiryBook.Told.NOTHING;
+        };
+    }
+
+    private static boolean isFenced(Http2Headers headers) {
+        CharSequence told = AnswerHeads.header(headers, FENCED);
+        return told != null && "yes".contentEquals(told);
+    }
+
     @Override
     public void identify(Place place, DoubleConsumer then) {
         inquire(place, NO_FORWARD, (what, process, body) -> then.accept(process));
--- a/gateway/src/test/java/gradereach/desk/CrashTest.java
+++ b/gateway/src/test/java/gradereach/desk/CrashTest.java
@@ -230,8 +230,8 @@
 
     /** Killed after it may have run: the executor knows, and whoever asks from then on gets the true word. */
     @ParameterizedTest
-    @CsvSource({"FINISHED, 0, 1 RETURNED, 1 RETURNED", "UNSEEN, 0, 1 SHED, 0", "UNSEEN, 9000000, 1 FAILED, 1 FAILED",
-        "NOTHING, NaN, 0, 0"})
+    @CsvSource({"FINISHED, 0, 1 RETURNED, 1 RETURNED", "FENCED, 0, 1 SHED, 0", "FENCED, 9000000, 1 FAILED, 1 FAILED",
+        "UNSEEN, 9000000, 1 FAILED, 1 FAILED", "UNSEEN, 0, 0, 0", "NOTHING, NaN, 0, 0"})
     void whatIsUnknownAfterARestartIsAskedAbout(InquiryBook.Told told, double upSince, String whoWaited, String then) {
         Stage first = start(1_000_000);
         first.ask("a", Stage.NON_RETRIABLE, 1);
@@ -249,7 +249,8 @@
         Client again = second.ask("a", Stage.NON_RETRIABLE, 1);
         assertEquals(whoWaited, waiting.heard());
         assertEquals(then, again.heard());
-        if (told == InquiryBook.Told.NOTHING) {
+        boolean unknownYet = whoWaited.equals("0");
+        if (unknownYet) {
             // Nobody knows in time: "unknown" is said while its client still waits.
             second.pass(asked + 999);
             assertEquals("1 FAILED", waiting.heard());
@@ -260,8 +261,8 @@
         }
         Stage third = start(second.now + 10);
         Client last = third.ask("a", Stage.NON_RETRIABLE, 1);
-        boolean goesOn = told == InquiryBook.Told.UNSEEN && then.equals("0");
-        assertEquals(told == InquiryBook.Told.NOTHING ? "1 FAILED" : then, goesOn ? last.heard() : inTime(third, last));
+        boolean goesOn = told == InquiryBook.Told.FENCED && then.equals("0");
+        assertEquals(unknownYet ? "1 FAILED" : then, goesOn ? last.heard() : inTime(third, last));
     }
 
     /** An answer by webhook was promised: after any restart there is one, and it is the true one. */
--- a/gateway/src/test/java/gradereach/desk/ProofOfOneLifeTest.java
+++ b/gateway/src/test/java/gradereach/desk/ProofOfOneLifeTest.java
@@ -44,11 +44,11 @@
         }
     }
 
-    /** Until then executors are asked: at one address it has run and no answer comes, at the other it never arrived. */
+    /** Until then executors are asked: at one address it has run and no answer comes, at the other it never arrives. */
     private void asked(Stage stage, String ranAt, double until) {
         while (stage.now < until) {
             step(stage, 20);
-            stage.says(ranAt.equals(FIRST) ? SECOND : FIRST, InquiryBook.Told.UNSEEN, 0);
+            stage.says(ranAt.equals(FIRST) ? SECOND : FIRST, InquiryBook.Told.FENCED, 0);
             stage.says(ranAt, InquiryBook.Told.NOTHING, Double.NaN);
         }
     }
--- a/gateway/src/test/java/gradereach/desk/RestartInquiryTest.java
+++ b/gateway/src/test/java/gradereach/desk/RestartInquiryTest.java
@@ -85,15 +85,16 @@
 
     /** Another instance stands where the forward went: it knows nothing of it, however long it runs. */
     @ParameterizedTest
-    @ValueSource(doubles = {0, 500, T - 1, T + 3000, Double.NaN})
-    void theNextAtAnAddressDoesNotSpeakForTheLast(double upSince) {
+    @CsvSource({"UNSEEN, 0", "UNSEEN, 500", "UNSEEN, 99999999", "UNSEEN, 100003000", "UNSEEN, NaN",
+        "FENCED, 0", "FENCED, 500", "FENCED, 99999999", "FENCED, 100003000", "FENCED, NaN"})
+    void theNextAtAnAddressDoesNotSpeakForTheLast(InquiryBook.Told what, double upSince) {
         sent(Stage.NON_RETRIABLE, 0, SENT_TO);
         ledger.crash();
         Stage second = start(T + 6000, 0, line("s-other", ADDRESS));
         Client waits = second.ask("a", Stage.NON_RETRIABLE, 1);
-        says(second, T + 18_000, InquiryBook.Told.UNSEEN, upSince);
+        says(second, T + 18_000, what, upSince);
         Client again = second.ask("a", Stage.NON_RETRIABLE, 1);
-        says(second, T + 20_000, InquiryBook.Told.UNSEEN, upSince);
+        says(second, T + 20_000, what, upSince);
         neverHarmless(second, waits, again);
         assertEquals("1 FAILED", again.heard());
     }
@@ -102,31 +103,35 @@
     @ParameterizedTest
     @CsvSource({
         // our clock's error as it is intended and after our restart, the executor's clock's error
-        "3600000, 3600000, 0", "10000, 0, 0", "0, 0, -7000", "-3600000, -3600000, -3700000", "0, 0, 0", "-10000, -10000, 0",
+        "UNSEEN, 3600000, 3600000, 0", "UNSEEN, 10000, 0, 0", "UNSEEN, 0, 0, -7000", "UNSEEN, -3600000, -3600000, -3700000",
+        "UNSEEN, 0, 0, 0", "UNSEEN, -10000, -10000, 0", "FENCED, 3600000, 3600000, 0", "FENCED, 10000, 0, 0",
+        "FENCED, 0, 0, -7000", "FENCED, -3600000, -3600000, -3700000", "FENCED, 0, 0, 0", "FENCED, -10000, -10000, 0",
     })
-    void aProcessStartedSinceProvesNothingWhateverTheClocksShow(double before, double after, double executors) {
+    void aProcessStartedSinceProvesNothingWhateverTheClocksShow(InquiryBook.Told what, double before, double after,
+            double executors) {
         sent(Stage.NON_RETRIABLE, before, SENT_TO);
         ledger.crash();
         Stage second = start(T + 6000, after, SENT_TO);
         Client waits = second.ask("a", Stage.NON_RETRIABLE, 1);
-        says(second, T + 25_000, InquiryBook.Told.UNSEEN, T + 3000 + executors);
+        says(second, T + 25_000, what, T + 3000 + executors);
         Client again = second.ask("a", Stage.NON_RETRIABLE, 1);
-        says(second, T + 27_000, InquiryBook.Told.UNSEEN, T + 3000 + executors);
+        says(second, T + 27_000, what, T + 3000 + executors);
         neverHarmless(second, waits, again);
         assertEquals("1 FAILED", again.heard());
     }
 
     /** A forward that this life gave up on is asked about as well. */
     @ParameterizedTest
-    @CsvSource({"s-other, 0, 500", "s-1, 10000, 3000", "s-1, 0, -7000"})
-    void theSameHoldsWithoutARestart(String thenThere, double after, double upSince) {
+    @CsvSource({"UNSEEN, s-other, 0, 500", "UNSEEN, s-1, 10000, 3000", "UNSEEN, s-1, 0, -7000",
+        "FENCED, s-other, 0, 500", "FENCED, s-1, 10000, 3000", "FENCED, s-1, 0, -7000"})
+    void theSameHoldsWithoutARestart(InquiryBook.Told what, String thenThere, double after, double upSince) {
         Stage stage = sent(Stage.NON_RETRIABLE, 0, SENT_TO);
         says(stage, T + 1500, InquiryBook.Told.NOTHING, 0);
         stage.roster(RosterForm.FULL);
         stage.wallStep = after;
         stage.roster(RosterForm.FULL, line(thenThere, ADDRESS));
         stage.flights.clear();
-        says(stage, T + 20_000, InquiryBook.Told.UNSEEN, thenThere.equals("s-other") ? upSince : T + upSince);
+        says(stage, T + 20_000, what, thenThere.equals("s-other") ? upSince : T + upSince);
         Client again = stage.ask("a", Stage.NON_RETRIABLE, 1);
         neverHarmless(stage, again);
         assertEquals("1 FAILED", again.heard());
@@ -134,15 +139,16 @@
 
     /** A minute later the same process has forgotten (after 30 s), though by our clock no time has passed. */
     @ParameterizedTest
-    @CsvSource({"0, -60000", "60000, 0", "30000, -30000"})
-    void theSameProcessProvesNothingOnceItHasForgotten(double before, double after) {
+    @CsvSource({"UNSEEN, 0, -60000", "UNSEEN, 60000, 0", "UNSEEN, 30000, -30000",
+        "FENCED, 0, -60000", "FENCED, 60000, 0", "FENCED, 30000, -30000"})
+    void theSameProcessProvesNothingOnceItHasForgotten(InquiryBook.Told what, double before, double after) {
         sent(Stage.NON_RETRIABLE, before, SENT_TO);
         ledger.crash();
         Stage second = start(T + 60_000, after, SENT_TO);
         Client waits = second.ask("a", Stage.NON_RETRIABLE, 1);
-        says(second, T + 75_000, InquiryBook.Told.UNSEEN, 0);
+        says(second, T + 75_000, what, 0);
         Client again = second.ask("a", Stage.NON_RETRIABLE, 1);
-        says(second, T + 77_000, InquiryBook.Told.UNSEEN, 0);
+        says(second, T + 77_000, what, 0);
         neverHarmless(second, waits, again);
     }
 
@@ -171,7 +177,7 @@
 
     /** What the process that was sent it says is believed, whatever our clock shows. */
     @ParameterizedTest
-    @CsvSource({"FINISHED, 0, 0", "UNSEEN, 0, 0", "UNSEEN, 3600000, 3600000", "UNSEEN, 20000, 0", "FINISHED, 20000, 0"})
+    @CsvSource({"FINISHED, 0, 0", "FENCED, 0, 0", "FENCED, 3600000, 3600000", "FENCED, 20000, 0", "FINISHED, 20000, 0"})
     void theProcessThatWasSentItIsBelieved(InquiryBook.Told what, double before, double after) {
         sent(Stage.NON_RETRIABLE, before, SENT_TO);
         ledger.crash();
@@ -199,6 +205,20 @@
         neverHarmless(second, waits, again);
     }
 
+    /** Its process has not seen it and does not promise to refuse it: it may read it later still. */
+    @ParameterizedTest
+    @ValueSource(doubles = {6000, 12_000, 29_000})
+    void neverSeenProvesNothingWithoutAFence(double until) {
+        sent(Stage.NON_RETRIABLE, 0, SENT_TO);
+        ledger.crash();
+        Stage second = start(T + 100, 0, SENT_TO);
+        says(second, T + until - 500, InquiryBook.Told.UNSEEN, 0);
+        Client waits = second.ask("a", Stage.NON_RETRIABLE, 1);
+        says(second, T + until, InquiryBook.Told.UNSEEN, 0);
+        Client again = second.ask("a", Stage.NON_RETRIABLE, 1);
+        neverHarmless(second, waits, again);
+    }
+
     /** Its intention waited for the disk: it left 900 ms later, and may arrive for five seconds from then on. */
     @Test
     void aForwardMayArriveForFiveSecondsAfterItLeft() {
@@ -221,8 +241,9 @@
     }
 
     /** Its next life forwards it to another executor: each forward is asked about where it went. */
-    @Test
-    void forwardsOfTwoLivesAreTwo() {
+    @ParameterizedTest
+    @ValueSource(strings = {"UNSEEN", "FENCED"})
+    void forwardsOfTwoLivesAreTwo(InquiryBook.Told what) {
         sent(Stage.DEDUPED, 0, SENT_TO);
         ledger.crash();
         Stage second = start(T + 200, 0, line("s-2", "10.0.0.2:80"));
@@ -232,7 +253,7 @@
         ledger.crash();
         Stage third = start(T + 6000, 0, SENT_TO, line("s-2", "10.0.0.2:80"));
         Client waits = third.ask("a", Stage.DEDUPED, 1);
-        says(third, T + 16_000, InquiryBook.Told.UNSEEN, 0);
+        says(third, T + 16_000, what, 0);
         Client again = third.ask("a", Stage.DEDUPED, 1);
         neverHarmless(third, waits, again);
     }
--- a/gateway/src/test/java/gradereach/inquiry/InquiryBookTest.java
+++ b/gateway/src/test/java/gradereach/inquiry/InquiryBookTest.java
@@ -33,8 +33,10 @@
     @CsvSource({
         // intended at 1000; asked at, told what, up since, what is known then
         "1100, FINISHED, 0, RAN", "1100, RUNNING, 0, NOT_YET", "1100, NOTHING, NaN, NOT_YET",
-        "1100, UNSEEN, 0, NOT_YET", "7000, UNSEEN, 0, NEVER_RAN", "7000, UNSEEN, 2000, NEVER_KNOWN",
-        "7000, UNSEEN, NaN, NOT_YET", "40000, NOTHING, NaN, NEVER_KNOWN", "40000, RUNNING, 0, NEVER_KNOWN",
+        "1100, UNSEEN, 0, NOT_YET", "7000, UNSEEN, 0, NOT_YET", "7000, UNSEEN, 2000, NEVER_KNOWN",
+        "7000, UNSEEN, NaN, NOT_YET", "30900, UNSEEN, 0, NOT_YET", "31000, UNSEEN, 0, NEVER_KNOWN",
+        "1100, FENCED, 0, NEVER_RAN", "30900, FENCED, 0, NEVER_RAN", "31000, FENCED, 0, NEVER_KNOWN",
+        "1100, FENCED, 2000, NEVER_KNOWN", "1100, FENCED, NaN, NOT_YET", "40000, NOTHING, NaN, NEVER_KNOWN", "40000, RUNNING, 0, NEVER_KNOWN",
     })
     void whatIsKnownFollowsWhatIsTold(double at, Told told, double upSince, Known known) {
         book.add("x", forward(1000), 1000);
--- a/gateway/src/test/java/gradereach/inquiry/UnseenDatesTest.java
+++ b/gateway/src/test/java/gradereach/inquiry/UnseenDatesTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** That a process has not seen a forward is true when it says so, which may be as early as it was asked. */
 class UnseenDatesTest {
@@ -46,9 +47,33 @@
         assertEquals(Known.NOT_YET, known);
     }
 
+    /** However long ago it was written: an executor may read it later still, unless it promises to refuse it. */
+    @ParameterizedTest
+    @ValueSource(doubles = {6600, 15_000, 30_900})
+    void noWordIsProofWithoutAFence(double askedAt) {
+        book.add("x", forward(1000), 1500);
+        assertEquals(Known.NOT_YET, book.told(only(askedAt), Told.UNSEEN, 0, askedAt + 50));
+    }
+
+    /** Refused from when the question was answered: from then on nothing arrives, whatever is still on its way. */
+    @ParameterizedTest
+    @CsvSource({"1600, 1601", "1600, 9000", "30000, 30900"})
+    void aFenceIsProofAtOnce(double askedAt, double toldAt) {
+        book.add("x", forward(1000), 1500);
+        assertEquals(Known.NEVER_RAN, book.told(only(askedAt), Told.FENCED, 0, toldAt));
+    }
+
+    /** Who forgets outcomes after 30 s may have run it before, and fences what it has forgotten. */
     @Test
-    void aWordAskedForLaterIsProof() {
+    void aFenceByWhoHasForgottenProvesNothing() {
         book.add("x", forward(1000), 1500);
-        assertEquals(Known.NEVER_RAN, book.told(only(6600), Told.UNSEEN, 0, 6700));
+        assertEquals(Known.NEVER_KNOWN, book.told(only(30_900), Told.FENCED, 0, 31_000));
+    }
+
+    /** Where the process was not known at the intent, whoever is there may be another. */
+    @Test
+    void aFenceByNobodyKnowsWhomProvesNothing() {
+        book.add("x", new Forwarded(new Recipient("s-1", "ex", Double.NaN), "f", 1000), 1500);
+        assertEquals(Known.NEVER_KNOWN, book.told(only(1600), Told.FENCED, 0, 1700));
     }
 }
--- a/rehearsal/src/test/java/gradereach/rehearsal/RestartInquirySocketTest.java
+++ b/rehearsal/src/test/java/gradereach/rehearsal/RestartInquirySocketTest.java
@@ -66,6 +66,8 @@
         private final String model;
         private final Path at;
         private final StandInFleet fleet;
+        /** Executors take inferences by gRPC. */
+        private boolean byGrpc;
 
         /** @param fleetTold beside the models */
         Reservation(String id, String model, ObjectNode fleetTold) throws Exception {
@@ -84,7 +86,10 @@
             plan.putArray("customers").addObject().put("name", "yard").putArray("keys").addObject()
                     .put("inline", key.secretText());
             plan.putObject("ledger").put("folder", at.resolve("ledger").toString());
-            plan.putObject("executors").put("outcomes_kept_ms", 60_000);
+            ObjectNode executors = plan.putObject("executors").put("outcomes_kept_ms", 60_000);
+            if (byGrpc) {
+                executors.putArray("grpc_kinds").add(0);
+            }
             return new FrontEndChild(at, plan, fault, key, processes, clockAhead);
         }
 
@@ -107,6 +112,26 @@
             client.join();
         }
 
+        /** It reaches the executor's machine and is not read; then its front end, which gave it up, is killed. */
+        void isSentUnreadAndItsSenderKilled() throws Exception {
+            FrontEndChild first = front("none", 0);
+            first.askOn(id + "-before", model); // discovery is heard, the model loaded, a connection open
+            fault("unread", 0, 0);
+            HttpResponse<String> answer = first.askUntilTaken(id, model);
+            assertEquals(504, answer.statusCode(), id + ": " + answer.body());
+            first.kill();
+        }
+
+        /** What waited unread is read now, and has done what it does. */
+        void isRead() throws Exception {
+            CompletableFuture<Map<String, Object>> arrived = fleet.next("arrived", "mark", "yard/" + id);
+            CompletableFuture<?> done = CompletableFuture.anyOf(fleet.next("ran", "mark", "yard/" + id),
+                    fleet.next("refused", "mark", "yard/" + id));
+            fault("read_on", 0, 0);
+            arrived.get(20, TimeUnit.SECONDS);
+            done.get(20, TimeUnit.SECONDS);
+        }
+
         /** The executor's process ends, and the next one is up. */
         void restartsExecutor() throws Exception {
             CompletableFuture<Map<String, Object>> started = fleet.next("start", "ex", fleet.addresses().get(0));
@@ -285,4 +310,20 @@
         all(List.of(this::anotherOfTheSameMillisecondTookItsAddress, this::itsTwinIsThereAndDiscoveryAway,
                 this::itStartsAnewAtTheSameMillisecond));
     }
+
+    /** Its executor says on a new connection that it never saw it, and reads it afterwards on the old one. */
+    private void itIsReadAfterTheProof(String id, boolean byGrpc) throws Exception {
+        Reservation one = new Reservation(id, "book-1", executors(1));
+        one.byGrpc = byGrpc;
+        one.isSentUnreadAndItsSenderKilled();
+        List<String> heard = one.asks(one.front("none", 0));
+        one.isRead();
+        one.ranOnceAndWasReturned(heard);
+    }
+
+    /** Guards against an effect twice by a forward that is delivered after its sender's end, however long after. */
+    @Test
+    void whatArrivesAfterItsSendersEndDoesNotRun() throws Exception {
+        all(List.of(() -> itIsReadAfterTheProof("read-late", false), () -> itIsReadAfterTheProof("read-late-grpc", true)));
+    }
 }
--- a/standins/src/main/java/gradereach/standins/ForwardOutcomes.java
+++ b/standins/src/main/java/gradereach/standins/ForwardOutcomes.java
@@ -2,28 +2,48 @@
 
 import io.netty.channel.EventLoop;
 import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-/** What one process of an executor knows of the forwards that came to it; gone with the process. */
+/**
+ * What one process of an executor knows of the forwards that came to it; gone with the process. A forward that it has not
+ * seen when it is asked about it is fenced: refused from then on for as long as the process lives, so that "never seen"
+ * stays true whenever the forward is delivered. Questions and forwards may come on different threads.
+ */
 final class ForwardOutcomes {
     private static final long KEPT = 60_000; // milliseconds after its end
+    private static final int MOST_FENCES = 100_000;
 
-    /** 200 with its answer, 202 while it runs, 404 for one that this process has not seen. */
-    record Found(int status, String output) { }
+    /**
+     * 200 with its answer, 202 while it runs, 404 for one that this process has not seen.
+     *
+     * @param fenced it is refused from now on
+     */
+    record Found(int status, String output, boolean fenced) { }
 
     private final EventLoop loop;
     private final long upSince;
+    private final int mostFences;
     /** Tells this process from any other: 15 digits, so that two do not meet. */
     private final long process = new SecureRandom().nextLong(1_000_000_000_000_000L);
     /** Empty while they run, then their answers. */
-    private final Map<String, String> outputs = new ConcurrentHashMap<>();
+    private final Map<String, String> outputs = new HashMap<>();
+    /** Never taken out again: a forward may be delivered at any time. */
+    private final Set<String> fences = new HashSet<>();
 
     /** @param upSince Unix milliseconds by the clock of the executor's machine */
     ForwardOutcomes(EventLoop loop, double upSince) {
+        this(loop, upSince, MOST_FENCES);
+    }
+
+    /** @param mostFences once there are so many, no other forward is fenced, and none is said to be */
+    ForwardOutcomes(EventLoop loop, double upSince, int mostFences) {
         this.loop = loop;
         this.upSince = (long) upSince;
+        this.mostFences = mostFences;
     }
 
     long upSince() {
@@ -34,21 +54,38 @@
         return process;
     }
 
-    void begun(String forward) {
+    /** False for one that is fenced: it must not run. */
+    synchronized boolean begin(String forward) {
+        if (fences.contains(forward)) {
+            return false;
+        }
         outputs.put(forward, "");
+        return true;
     }
 
-    void finished(String forward, String output) {
+    synchronized void finished(String forward, String output) {
         outputs.put(forward, output);
-        loop.schedule(() -> outputs.remove(forward), KEPT, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> forget(forward), KEPT, TimeUnit.MILLISECONDS);
     }
 
-    void neverBegan(String forward) {
+    /** It was refused, or is forgotten. */
+    synchronized void forget(String forward) {
         outputs.remove(forward);
     }
 
-    Found find(String forward) {
+    /** What became of a forward; one that has not been seen is fenced, if there is room. */
+    synchronized Found find(String forward) {
         String output = outputs.get(forward);
-        return output == null ? new Found(404, "{}") : output.isEmpty() ? new Found(202, "{}") : new Found(200, output);
+        if (output == null) {
+            return new Found(404, "{}", fence(forward));
+        }
+        return output.isEmpty() ? new Found(202, "{}", false) : new Found(200, output, false);
+    }
+
+    private boolean fence(String forward) {
+        if (fences.size() < mostFences) {
+            fences.add(forward);
+        }
+        return fences.contains(forward);
     }
 }
--- a/standins/src/main/java/gradereach/standins/StandInExecutor.java
+++ b/standins/src/main/java/gradereach/standins/StandInExecutor.java
@@ -132,6 +132,16 @@
         });
     }
 
+    /** What comes on the connections that are open now waits unread until {@link #readConnections}. */
+    void stopReadingConnections() {
+        open.forEach(connection -> connection.config().setAutoRead(false));
+    }
+
+    /** What came meanwhile is read, also where its sender has ended since. */
+    void readConnections() {
+        open.forEach(connection -> connection.config().setAutoRead(true));
+    }
+
     /** The process as it is, with all that it holds, at the address of one that has ended. */
     void takeOver(StandInExecutor ended) throws InterruptedException {
         down();
@@ -170,6 +180,7 @@
 
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private String forward = "";
+        private String mark = "";
         private boolean grpc;
         /** How an answer in parts flows; null for a whole one. */
         private PartsAnswer parts;
@@ -213,7 +224,8 @@
             ForwardOutcomes.Found found = known.find(of);
             transcript.write("asked-about", "ex", address(), "fwd", of, "finished", found.status() == 200);
             FullHttpResponse response = response(found.status(), found.output());
-            response.headers().set("executor-up-since", known.upSince()).set("executor-process", known.process());
+            response.headers().set("executor-up-since", known.upSince()).set("executor-process", known.process())
+                    .set("forward-fenced", found.fenced() ? "yes" : "no");
             ctx.writeAndFlush(response);
         }
 
@@ -244,7 +256,7 @@
         private void infer(ChannelHandlerContext ctx, String model, double asked, FullHttpRequest request, String agent)
                 throws IOException {
             forward = request.headers().get("x-request-id", "");
-            String mark = request.headers().get("idempotency-key", "");
+            mark = request.headers().get("idempotency-key", "");
             Machine.Spec spec = specs.apply(model);
             transcript.write("arrived", "ex", address(), "fe", agent, "fwd", forward, "mark", mark, "model", model);
             String customer = mark.substring(0, Math.max(0, mark.indexOf('/')));
@@ -269,7 +281,10 @@
             }
             String output = "{\"model_name\":" + JSON.writeValueAsString(model) + ",\"outputs\":[{\"name\":\"out\","
                     + "\"shape\":[1],\"datatype\":\"FP32\",\"data\":[" + work + "]}]}";
-            known.begun(forward);
+            if (!known.begin(forward)) {
+                refuse(ctx, 409, false);
+                return;
+            }
             at.work(spec, work, new Machine.JobEnd() {
                 @Override
                 public void ran(String warmth, int crowd) {
@@ -301,13 +316,13 @@
 
                 @Override
                 public void missed(boolean loadFailed) {
-                    known.neverBegan(forward);
+                    known.forget(forward);
                     refuse(ctx, 404, loadFailed);
                 }
 
                 @Override
                 public void full() {
-                    known.neverBegan(forward);
+                    known.forget(forward);
                     refuse(ctx, 503, false);
                 }
             });
@@ -341,8 +356,8 @@
         }
 
         private void refuse(ChannelHandlerContext ctx, int status, boolean loadFailed) {
-            transcript.write("refused", "ex", address(), "fwd", forward, "status", status);
-            FullHttpResponse response = grpc ? ended(status == 404 ? 5 : 14, new byte[0]) : response(status, "{\"error\":\"not begun\"}");
+            transcript.write("refused", "ex", address(), "fwd", forward, "mark", mark, "status", status);
+            FullHttpResponse response = grpc ? ended(grpcStatus(status), new byte[0]) : response(status, "{\"error\":\"not begun\"}");
             response.headers().set("inference-begun", "no");
             if (loadFailed) {
                 response.headers().set("model-warmth", "load-failed");
@@ -350,6 +365,15 @@
             ctx.writeAndFlush(response);
         }
 
+        /** NOT_FOUND, FAILED_PRECONDITION or UNAVAILABLE. */
+        private static int grpcStatus(int status) {
+            return switch (status) {
+                case 404 -> 5;
+                case 409 -> 9;
+                default -> 14;
+            };
+        }
+
         private void answer(ChannelHandlerContext ctx, int status, String body, Integer copies) {
             if (!up || machine != at) {
                 return;
--- a/standins/src/main/java/gradereach/standins/StandInFleet.java
+++ b/standins/src/main/java/gradereach/standins/StandInFleet.java
@@ -194,6 +194,8 @@
                 hit.forEach(ex -> ex.faults.answersLost = true);
                 later(length, () -> hit.forEach(ex -> ex.faults.answersLost = false));
             }
+            case "unread" -> hit.forEach(StandInExecutor::stopReadingConnections);
+            case "read_on" -> hit.forEach(StandInExecutor::readConnections);
             case "clock" -> hit.forEach(ex -> ex.faults.clockAhead = size);
             case "taken_over" -> takeOver(hit.get(0), executors.get(fault.path("by").asInt()));
             case "roster_away" -> {
