A ledger takes no span from an uptime that may be a container's own

Cause: readings of /proc/uptime were compared under one boot id; the boot id is the machine's, the uptime need not be.

Change: the anchor keeps the monotonic clock beside the uptime. Anchors of earlier versions lack the monotonic clock: the first start knows no span.

Checks: LedgerClockTest forges an earlier anchor by both clocks now, or it would forge a count that is none; its assertions stay.

No container of that kind was at hand; its readings are forged.

--- a/gateway/src/main/java/gradereach/ledger/disk/LedgerClock.java
+++ b/gateway/src/main/java/gradereach/ledger/disk/LedgerClock.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -15,19 +16,17 @@
 public final class LedgerClock implements LedgerTime {
     private static final Logger LOG = LoggerFactory.getLogger(LedgerClock.class);
     private static final String FILE = "clock";
-    /** Milliseconds by which two readings of one uptime may differ: it is told in hundredths of a second. */
-    private static final double READING = 100;
 
     /** What the folder keeps: the ledger's time at one moment of the machine's uptime. */
     private record Anchor(MachineUptime uptime, double time, double knownSince) {
         static Anchor parse(String text) {
             String[] words = text.strip().split(" ");
-            return new Anchor(new MachineUptime(words[0], Double.parseDouble(words[1])), Double.parseDouble(words[2]),
-                    Double.parseDouble(words[3]));
+            return new Anchor(new MachineUptime(words[0], Double.parseDouble(words[1]), Double.parseDouble(words[4])),
+                    Double.parseDouble(words[2]), Double.parseDouble(words[3]));
         }
 
         String text() {
-            return uptime.boot() + " " + uptime.millis() + " " + time + " " + knownSince + "\n";
+            return uptime.boot() + " " + uptime.millis() + " " + time + " " + knownSince + " " + uptime.monotonic() + "\n";
         }
     }
 
@@ -36,6 +35,7 @@
 
     private final DoubleSupplier moduleClock;
     private final DoubleSupplier wallClock;
+    private final Supplier<MachineUptime> uptimes;
     private volatile Present present;
 
     /**
@@ -45,8 +45,13 @@
      * @param wallClock Unix milliseconds
      */
     public LedgerClock(DoubleSupplier moduleClock, DoubleSupplier wallClock) {
+        this(moduleClock, wallClock, MachineUptimeReader::readMachine);
+    }
+
+    LedgerClock(DoubleSupplier moduleClock, DoubleSupplier wallClock, Supplier<MachineUptime> uptimes) {
         this.moduleClock = moduleClock;
         this.wallClock = wallClock;
+        this.uptimes = uptimes;
         double time = wallClock.getAsDouble();
         present = new Present(moduleClock.getAsDouble(), time, time);
     }
@@ -57,11 +62,11 @@
      * @param youngest the latest time among its records, minus infinity where it holds none
      */
     public void set(Path folder, double youngest) {
-        MachineUptime uptime = MachineUptime.read();
+        MachineUptime uptime = uptimes.get();
         Anchor anchor = read(folder);
         double elapsed = anchor == null ? Double.NaN : uptime.since(anchor.uptime);
-        // Behind its own records it counts another start's uptime: a container may be shown one of its own.
-        if (Double.isNaN(elapsed) || anchor.time + elapsed < youngest - READING) {
+        // Behind its own records it counts another start's uptime, whatever shows it.
+        if (Double.isNaN(elapsed) || anchor.time + elapsed < youngest - MachineUptime.READING) {
             double time = Math.max(wallClock.getAsDouble(), youngest + 1);
             anchor = new Anchor(uptime, time, time);
             elapsed = 0;
@@ -76,7 +81,7 @@
      */
     public static double keptSince(Path folder, double kept) {
         Anchor anchor = read(folder);
-        double elapsed = anchor == null ? Double.NaN : MachineUptime.read().since(anchor.uptime);
+        double elapsed = anchor == null ? Double.NaN : MachineUptimeReader.readMachine().since(anchor.uptime);
         boolean known = !Double.isNaN(elapsed) && anchor.time + elapsed - kept >= anchor.knownSince;
         return known ? anchor.time + elapsed - kept : Double.NEGATIVE_INFINITY;
     }
--- a/gateway/src/main/java/gradereach/ledger/disk/MachineUptime.java
+++ b/gateway/src/main/java/gradereach/ledger/disk/MachineUptime.java
@@ -1,33 +1,34 @@
 package gradereach.ledger.disk;
 
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-
 /**
- * A moment by the machine's uptime, as proc(5) tells it: {@code /proc/uptime} in seconds, suspended time included, and the
- * random id of the machine's start.
+ * A moment by the machine's uptime, suspended time included, beside the reading of a monotonic clock that excludes it: on
+ * HotSpot {@link System#nanoTime} reads Linux's CLOCK_MONOTONIC, which no container's view of {@code /proc} changes.
  *
- * @param boot empty where the machine does not tell
+ * @param boot the random id of the machine's start; empty where the machine does not tell
+ * @param millis since the machine's start
+ * @param monotonic milliseconds
  */
-record MachineUptime(String boot, double millis) {
-    private static final Path BOOT_ID = Path.of("/proc/sys/kernel/random/boot_id");
-    private static final Path UPTIME = Path.of("/proc/uptime");
-    private static final double MILLIS_PER_SECOND = 1000;
+record MachineUptime(String boot, double millis, double monotonic) {
+    /** Where no uptime can be had that is certainly the machine's: no span to it is known. */
+    static final MachineUptime UNKNOWN = new MachineUptime("", Double.NaN, Double.NaN);
+    /** Milliseconds by which two readings may differ: an uptime is told in hundredths of a second. */
+    static final double READING = 100;
+
+    /** Milliseconds for which the machine was suspended since its start, by the two clocks. */
+    private double suspended() {
+        return millis - monotonic;
+    }
 
-    static MachineUptime read() {
-        try {
-            String boot = Files.readString(BOOT_ID).strip();
-            String seconds = Files.readString(UPTIME).strip().split(" ")[0];
-            return new MachineUptime(boot, Double.parseDouble(seconds) * MILLIS_PER_SECOND);
-        } catch (IOException | RuntimeException e) {
-            return new MachineUptime("", Double.NaN);
-        }
+    /** An uptime that is less than the time not suspended counts from a later moment than the machine's start. */
+    private boolean countsFromTheMachinesStart() {
+        return !boot.isEmpty() && suspended() >= -READING;
     }
 
     /** Milliseconds from the other moment to this one; NaN where the two cannot be compared. */
     double since(MachineUptime other) {
-        boolean comparable = !boot.isEmpty() && boot.equals(other.boot) && millis >= other.millis;
-        return comparable ? millis - other.millis : Double.NaN;
+        boolean sameStart = countsFromTheMachinesStart() && other.countsFromTheMachinesStart() && boot.equals(other.boot);
+        // Time suspended only grows; where it shrank, one of the two counts another start's uptime.
+        boolean sameCount = suspended() >= other.suspended() - READING;
+        return sameStart && sameCount && millis >= other.millis ? millis - other.millis : Double.NaN;
     }
 }
--- a/gateway/src/test/java/gradereach/ledger/disk/LedgerClockTest.java
+++ b/gateway/src/test/java/gradereach/ledger/disk/LedgerClockTest.java
@@ -31,11 +31,12 @@
         return System.currentTimeMillis();
     }
 
-    /** The anchor as it is, but for its words. */
+    /** The anchor as it is, but for its words; read so much earlier, by both clocks of a machine that is not suspended. */
     private void forge(String boot, double earlierMillis) throws IOException {
         String[] words = Files.readString(folder.resolve("clock")).strip().split(" ");
         words[0] = boot.isEmpty() ? words[0] : boot;
         words[1] = Double.toString(Double.parseDouble(words[1]) - earlierMillis);
+        words[4] = Double.toString(Double.parseDouble(words[4]) - earlierMillis);
         Files.writeString(folder.resolve("clock"), String.join(" ", words) + "\n");
     }
 
--- a/rehearsal/src/test/java/gradereach/rehearsal/CrashPointsTest.java
+++ b/rehearsal/src/test/java/gradereach/rehearsal/CrashPointsTest.java
@@ -312,6 +312,16 @@
         assertEquals(1, transcript("ran", "mark").get("yard/once").size());
     }
 
+    /** The ledger of a front end that is down is told that so much time has passed, by both clocks that it goes by. */
+    private void passes(int frontEnd, long millis) throws IOException {
+        Path clock = folder.resolve("fe-" + frontEnd + ".ledger").resolve("clock");
+        String[] words = Files.readString(clock).strip().split(" ");
+        for (int word : new int[] {1, 4}) { // uptime, monotonic clock
+            words[word] = Double.toString(Double.parseDouble(words[word]) - millis);
+        }
+        Files.writeString(clock, String.join(" ", words) + "\n");
+    }
+
     /**
      * Forgotten for its age, its segment gone; then our clock is set back: its signature would pass again. The ledger's clock
      * is told that eleven minutes have passed, the wall clock of the second life shows it.
@@ -327,10 +337,7 @@
         } while (answer.statusCode() == 503); // discovery was not heard in its time: it never left
         assertEquals(200, answer.statusCode());
         first.kill();
-        Path clock = folder.resolve("fe-0.ledger").resolve("clock");
-        String[] words = Files.readString(clock).strip().split(" ");
-        words[1] = Double.toString(Double.parseDouble(words[1]) - elevenMinutes);
-        Files.writeString(clock, String.join(" ", words) + "\n");
+        passes(0, elevenMinutes);
         FrontEndChild second = new FrontEndChild(folder, plan(folder, 0, List.of()), "none", key, processes, elevenMinutes);
         second.askOn("other", "book-1");
         second.kill();
