A ledger folder that was restored from a copy does not pass for the ledger

Cause: nothing in a folder tells whether it is the one that its front end wrote last; its identity is copied with it, so keepers grant it its old claims again, and as a keeper it has forgotten what it granted.

Change: the folder keeps the numbers (inodes) of its files, durable before a new segment's first record is told durable; a copy tells its original's and has others. It is taken over as a copy: what was not returned gets a forward that nobody can be asked about, what is not known is barred by its timestamp for as long as messages are remembered from then on, for its own messages and as a keeper. Cut at any step it is found again; compaction by hand does the same first; ledger verify says so. A damaged segment bars a keeper's grants, too.

Why it works: a copied file has another number while its original is there; owner, mode, time and name may change without a copy.

The processes of CrashPointsTest's set-up are a class of their own, used by both.

--- a/cli/src/main/java/gradereach/cli/LedgerCommand.java
+++ b/cli/src/main/java/gradereach/cli/LedgerCommand.java
@@ -89,7 +89,7 @@
     }
 
     @Command(name = "verify", mixinStandardHelpOptions = true,
-            description = "Read all of it and name what is damaged. Exits with 1 where something is.")
+            description = "Read all of it and name what is damaged, or that it was restored from a copy. Exits with 1 where something is.")
     int verify(@Parameters(paramLabel = "FOLDER") Path folder) throws IOException {
         LedgerBook book = new LedgerBook();
         LedgerFolder.Found found = read(folder, book::apply);
@@ -97,8 +97,12 @@
             System.out.println(damage);
         }
         book.oddities().forEach(System.out::println);
+        boolean restored = LedgerFolder.isRestoredCopy(folder);
+        if (restored) {
+            System.out.println("restored from a copy: what its front end did since is not in it");
+        }
         System.out.println(found.records() + " records of " + book.size() + " messages, " + found.bytes() + " bytes, torn tail "
                 + found.tornBytes() + " bytes, damaged places " + found.damage().size());
-        return found.damage().isEmpty() ? 0 : 1;
+        return found.damage().isEmpty() && !restored ? 0 : 1;
     }
 }
--- a/gateway/src/main/java/gradereach/inquiry/InquiryBook.java
+++ b/gateway/src/main/java/gradereach/inquiry/InquiryBook.java
@@ -99,7 +99,7 @@
 
     /** Null where it is not asked about. */
     public Question add(Object about, Forwarded forwarded, double now) {
-        if (!asks() || now - forwarded.intendedAt >= remembered || open >= mostOpen) {
+        if (!asks() || !forwarded.recipient.isKnown() || now - forwarded.intendedAt >= remembered || open >= mostOpen) {
             return null;
         }
         open++;
--- a/gateway/src/main/java/gradereach/ledger/LedgerRecord.java
+++ b/gateway/src/main/java/gradereach/ledger/LedgerRecord.java
@@ -12,8 +12,8 @@
     long TIMESTAMP_TOLERANCE = 300;
     double MILLIS_PER_SECOND = 1000;
 
-    /** The latest timestamp that a message can have carried then, Unix seconds. */
-    private static long signableUntil(double at) {
+    /** The latest timestamp that a message can have carried at such Unix milliseconds, Unix seconds. */
+    static long signableUntil(double at) {
         return (long) (at / MILLIS_PER_SECOND) + TIMESTAMP_TOLERANCE;
     }
 
--- a/gateway/src/main/java/gradereach/ledger/disk/DiskLedger.java
+++ b/gateway/src/main/java/gradereach/ledger/disk/DiskLedger.java
@@ -269,6 +269,7 @@
             buffer.clear().put(LedgerFolder.MAGIC);
             flush();
             out.force();
+            folder.keepFileNumbers(segment);
             durable = written;
             mark();
             usable = disk.room(folder.folder) >= bounds.reserve;
--- a/gateway/src/main/java/gradereach/ledger/disk/KeptText.java
+++ b/gateway/src/main/java/gradereach/ledger/disk/KeptText.java
@@ -17,6 +17,13 @@
         return Files.exists(file) ? Files.readString(file).strip() : null;
     }
 
+    /** Makes the file that the next {@link #write} gives its text and its name. */
+    static Path create(Path folder, String name) throws IOException {
+        Path fresh = folder.resolve(name + ".new");
+        Files.deleteIfExists(fresh);
+        return Files.createFile(fresh);
+    }
+
     /** Durable when it returns. */
     static void write(Path folder, String name, String text) throws IOException {
         Path fresh = folder.resolve(name + ".new");
@@ -25,8 +32,6 @@
             file.force(true);
         }
         Files.move(fresh, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
-        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
-            names.force(true);
-        }
+        LedgerFolder.force(folder);
     }
 }
--- a/gateway/src/main/java/gradereach/ledger/disk/LedgerClock.java
+++ b/gateway/src/main/java/gradereach/ledger/disk/LedgerClock.java
@@ -86,6 +86,12 @@
         return known ? anchor.time + elapsed - kept : Double.NEGATIVE_INFINITY;
     }
 
+    /** What a ledger's time would be now if it were opened, NaN where nobody can tell. */
+    static double now(Path folder) {
+        Anchor anchor = read(folder);
+        return anchor == null ? Double.NaN : anchor.time + MachineUptimeReader.readMachine().since(anchor.uptime);
+    }
+
     private static Anchor read(Path folder) {
         try {
             String text = KeptText.read(folder, FILE);
--- a/gateway/src/main/java/gradereach/ledger/disk/LedgerFolder.java
+++ b/gateway/src/main/java/gradereach/ledger/disk/LedgerFolder.java
@@ -19,7 +19,10 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -33,15 +36,18 @@
 /**
  * The folder of one front end's ledger: segments {@code NNNNNNNNNNNNNNNN.ledger} (hexadecimal, ascending), the mark
  * {@code tail} of what was durable last, the ledger's own {@code identity}, its {@code clock} ({@link LedgerClock}), what was
- * {@code forgotten} of messages and of claims ({@code forgotten_claims}), and a lock.
+ * {@code forgotten} of messages and of claims ({@code forgotten_claims}), the numbers of its {@code files}
+ * ({@link FileNumbers}), up to when it is {@code suspect} since it was restored from a copy ({@link RestoredCopy}), and a lock.
  */
 public final class LedgerFolder implements Closeable {
     private static final Logger LOG = LoggerFactory.getLogger(LedgerFolder.class);
     static final byte[] MAGIC = "gradereach ledger 1\n".getBytes(StandardCharsets.US_ASCII);
     private static final String ENDING = ".ledger";
-    private static final String IDENTITY = "identity";
+    static final String IDENTITY = "identity";
+    static final String LOCK = "lock";
     private static final String FORGOTTEN = "forgotten";
     private static final String FORGOTTEN_CLAIMS = "forgotten_claims";
+    private static final String SUSPECT = "suspect";
     private static final int MARK = 20;
 
     /** What reading it found; {@code damagedAt} is when the youngest damaged segment was last written, Unix milliseconds. */
@@ -52,12 +58,14 @@
     private final FileChannel lockFile;
     private final FileLock lock;
     private final String identity;
+    private final FileNumbers fileNumbers;
     private FileChannel mark;
 
     /** Opens for a front end; one at a time. */
     public LedgerFolder(Path folder) throws IOException {
         this.folder = Files.createDirectories(folder);
-        lockFile = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        fileNumbers = new FileNumbers(folder);
+        lockFile = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         FileLock got;
         try {
             got = lockFile.tryLock();
@@ -71,8 +79,11 @@
         lock = got;
         try {
             identity = identityOf(folder);
-        } catch (IOException e) {
-            lockFile.close(); // with the lock: the next attempt must find it free
+            if (fileNumbers.differ()) {
+                RestoredCopy.takeOver(this);
+            }
+        } catch (IOException | RuntimeException e) {
+            close(); // the next attempt must find it free
             throw e;
         }
     }
@@ -100,6 +111,19 @@
         return timestamp(FORGOTTEN_CLAIMS);
     }
 
+    /**
+     * The latest signed timestamp, Unix seconds, of messages and claims that a restored folder may have lost; Long.MIN_VALUE where
+     * it was not restored.
+     */
+    public long suspectUpTo() throws IOException {
+        return timestamp(SUSPECT);
+    }
+
+    /** Whether that folder was restored from a copy, and no front end has had it open since. */
+    public static boolean isRestoredCopy(Path folder) throws IOException {
+        return new FileNumbers(folder).differ();
+    }
+
     private long timestamp(String name) throws IOException {
         String text = KeptText.read(folder, name);
         return text == null ? Long.MIN_VALUE : Long.parseLong(text);
@@ -115,6 +139,10 @@
         raise(FORGOTTEN_CLAIMS, signedAt);
     }
 
+    void suspect(long signedUpTo) throws IOException {
+        raise(SUSPECT, signedUpTo);
+    }
+
     private void raise(String name, long signedAt) throws IOException {
         if (signedAt > timestamp(name)) {
             KeptText.write(folder, name, Long.toString(signedAt));
@@ -127,9 +155,18 @@
     }
 
     Path segment(long number) {
+        return segment(folder, number);
+    }
+
+    static Path segment(Path folder, long number) {
         return folder.resolve(String.format("%016x", number) + ENDING);
     }
 
+    /** Keeps which files the folder consists of, before records are said to be durable in the segment. */
+    void keepFileNumbers(long next) throws IOException {
+        fileNumbers.keep(segment(next), segment(next));
+    }
+
     static List<Long> segments(Path folder) throws IOException {
         List<Long> numbers = new ArrayList<>();
         try (var files = Files.list(folder)) {
@@ -219,7 +256,7 @@
     }
 
     private static Segment segment(Path folder, long number, boolean last, long[] durable) throws IOException {
-        Path file = folder.resolve(String.format("%016x", number) + ENDING);
+        Path file = segment(folder, number);
         String name = file.getFileName().toString();
         byte[] bytes = Files.readAllBytes(file);
         long writtenAt = Files.getLastModifiedTime(file).toMillis();
@@ -262,37 +299,57 @@
             }
             Path fresh = folder.resolve("compacted.new");
             Files.deleteIfExists(fresh);
-            int kept = 0;
-            long bytes = MAGIC.length;
-            long forgotten = Long.MIN_VALUE;
-            long claimsForgotten = Long.MIN_VALUE;
-            try (Disk.Appender out = Disk.REAL.create(fresh)) {
-                out.write(ByteBuffer.wrap(MAGIC));
-                for (LedgerRecord record : records) {
-                    if (book.needed(record, youngerThan)) {
-                        byte[] frame = RecordCodec.frame(record);
-                        out.write(ByteBuffer.wrap(frame));
-                        bytes += frame.length;
-                        kept++;
-                    } else if (record instanceof LedgerRecord.Intended intended) {
-                        forgotten = Math.max(forgotten, intended.signedAt());
-                    } else if (record instanceof LedgerRecord.Claimed claimed && claimed.at() < youngerThan) {
-                        claimsForgotten = Math.max(claimsForgotten, claimed.signedAt());
-                    }
-                }
-                out.force();
-            }
-            Files.move(fresh, opened.segment(found.nextSegment()), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
-            try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
-                names.force(true);
-            }
+            List<LedgerRecord> kept = records.stream().filter(record -> book.needed(record, youngerThan)).toList();
+            long bytes = write(fresh, kept);
+            Path segment = opened.segment(found.nextSegment());
+            opened.fileNumbers.keep(segment, fresh);
+            Files.move(fresh, segment, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+            force(folder);
             opened.mark(found.nextSegment(), bytes);
-            opened.forget(forgotten);
-            opened.forgetClaims(claimsForgotten);
+            opened.forgetAllBut(kept, records, youngerThan);
             for (long number : old) {
                 Files.delete(opened.segment(number));
             }
-            return new Compacted(found, kept, bytes);
+            return new Compacted(found, kept.size(), bytes);
+        }
+    }
+
+    /** What is left out of a compaction leaves its signed timestamps behind. */
+    private void forgetAllBut(List<LedgerRecord> kept, List<LedgerRecord> records, double youngerThan) throws IOException {
+        Set<LedgerRecord> stays = Collections.newSetFromMap(new IdentityHashMap<>());
+        stays.addAll(kept);
+        long forgotten = Long.MIN_VALUE;
+        long claimsForgotten = Long.MIN_VALUE;
+        for (LedgerRecord record : records) {
+            if (!stays.contains(record) && record instanceof LedgerRecord.Intended intended) {
+                forgotten = Math.max(forgotten, intended.signedAt());
+            } else if (record instanceof LedgerRecord.Claimed claimed && claimed.at() < youngerThan) {
+                claimsForgotten = Math.max(claimsForgotten, claimed.signedAt());
+            }
+        }
+        forget(forgotten);
+        forgetClaims(claimsForgotten);
+    }
+
+    /** A new file of whole frames, durable when it returns; its length. */
+    static long write(Path file, List<LedgerRecord> records) throws IOException {
+        long bytes = MAGIC.length;
+        try (Disk.Appender out = Disk.REAL.create(file)) {
+            out.write(ByteBuffer.wrap(MAGIC));
+            for (LedgerRecord record : records) {
+                byte[] frame = RecordCodec.frame(record);
+                out.write(ByteBuffer.wrap(frame));
+                bytes += frame.length;
+            }
+            out.force();
+        }
+        return bytes;
+    }
+
+    /** The names in the folder are durable when it returns. */
+    static void force(Path folder) throws IOException {
+        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
+            names.force(true);
         }
     }
 
--- a/gateway/src/main/java/gradereach/serve/Gateway.java
+++ b/gateway/src/main/java/gradereach/serve/Gateway.java
@@ -262,8 +262,10 @@
         found.damage().forEach(damage -> LOG.error("ledger damaged, {}", damage));
         book.oddities().forEach(line -> LOG.error("ledger: {}", line));
         ledgerClock.set(plan.ledgerFolder(), carry.youngest());
-        long suspect = found.damage().isEmpty() ? Long.MIN_VALUE
+        long damagedUpTo = found.damage().isEmpty() ? Long.MIN_VALUE
                 : found.damagedAt() / 1000 + KeyRing.TOLERANCE_SECONDS;
+        long suspect = Math.max(damagedUpTo, folder.suspectUpTo());
+        book.claimsForgotten(suspect);
         if (claims != null) {
             claims.recover(folder.identity(), found.nextSegment(), book, REMEMBERED_FOR);
         }
--- a/rehearsal/src/test/java/gradereach/rehearsal/CrashPointsTest.java
+++ b/rehearsal/src/test/java/gradereach/rehearsal/CrashPointsTest.java
@@ -5,19 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import gradereach.standins.StandInFleet;
-import gradereach.webhook.WebhookKey;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.SecureRandom;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -40,60 +32,20 @@
  */
 @Timeout(240)
 class CrashPointsTest {
-    private static final ObjectMapper JSON = new ObjectMapper();
     private static final int AT_ONCE = 8;
 
     @TempDir
     private Path folder;
-    private final WebhookKey key = WebhookKey.parse(WebhookKey.newSecret(new SecureRandom()));
-    private final List<Process> processes = java.util.Collections.synchronizedList(new ArrayList<>());
-    private StandInFleet fleet;
+    private ReservationSite site;
 
     @BeforeEach
     void start() throws Exception {
-        ObjectNode told = (ObjectNode) JSON.readTree(GROUPS);
-        told.put("executors", 2).put("work_ms", 5);
-        fleet = new StandInFleet(told, folder.resolve("t.jsonl"));
+        site = new ReservationSite(folder);
     }
 
     @AfterEach
     void end() throws Exception {
-        processes.forEach(Process::destroyForcibly);
-        fleet.close();
-    }
-
-    private static final String GROUPS = """
-            {"model_groups": [
-              {"name": "look", "repeat": "retriable", "slo_ms": 1000, "route_timeout_ms": 10000},
-              {"name": "book", "repeat": "non-retriable", "slo_ms": 1000, "route_timeout_ms": 10000}],
-             "models": [{"name": "look-*", "group": "look", "lanes": 8, "load_ms": 10},
-              {"name": "book-*", "group": "book", "lanes": 8, "load_ms": 10}]}""";
-
-    /** Ports of the fronts, then of the peers. */
-    private ObjectNode plan(Path at, int me, List<Integer> ports) throws IOException {
-        ObjectNode plan = ((ObjectNode) JSON.readTree(GROUPS)).put("name", "fe-" + me)
-                .put("listen", "127.0.0.1:" + (ports.isEmpty() ? 0 : ports.get(me)));
-        plan.putObject("roster").put("server", "http://127.0.0.1:" + fleet.rosterPort());
-        plan.putArray("customers").addObject().put("name", "yard")
-                .put("answers_to", "http://127.0.0.1:" + fleet.controlPort() + "/answers")
-                .putArray("keys").addObject().put("inline", key.secretText());
-        plan.putObject("ledger").put("folder", at.resolve("fe-" + me + ".ledger").toString());
-        plan.putObject("executors").put("outcomes_kept_ms", 60_000);
-        if (!ports.isEmpty()) {
-            int count = ports.size() / 2;
-            ObjectNode peers = plan.putObject("peers").put("listen", "127.0.0.1:" + ports.get(count + me));
-            peers.putObject("key").put("inline", key.secretText());
-            ArrayNode members = peers.putArray("members");
-            for (int i = 0; i < count; i++) {
-                members.addObject().put("name", "fe-" + i).put("peers", "127.0.0.1:" + ports.get(count + i))
-                        .put("front", "127.0.0.1:" + ports.get(i));
-            }
-        }
-        return plan;
-    }
-
-    private FrontEndChild front(Path at, ObjectNode plan, String fault) throws IOException, InterruptedException {
-        return new FrontEndChild(at, plan, fault, key, processes, 0);
+        site.close();
     }
 
     /** Every step of a path with so many commits and one forward. */
@@ -120,18 +72,6 @@
         }
     }
 
-    /** Events of the stand-ins by what they are about. */
-    private Map<String, List<JsonNode>> transcript(String event, String about) throws IOException {
-        Map<String, List<JsonNode>> found = new HashMap<>();
-        for (String line : Files.readAllLines(folder.resolve("t.jsonl"))) {
-            JsonNode node = JSON.readTree(line);
-            if (node.path("ev").asText().equals(event)) {
-                found.computeIfAbsent(node.path(about).asText(), k -> new ArrayList<>()).add(node);
-            }
-        }
-        return found;
-    }
-
     /** An intent and an outcome; a promise, an intent, and an outcome once for who asked and once for the outbox. */
     @Test
     void endedAtEveryStepAReservationRunsOnceAndIsToldSo() throws Exception {
@@ -143,7 +83,7 @@
             String step = what.substring(what.indexOf('-') + 1);
             boolean async = what.startsWith("async");
             Path at = folder.resolve(what.replace(':', '-'));
-            FrontEndChild first = front(at, plan(at, 0, List.of()), step.equals("heard") ? "none" : step);
+            FrontEndChild first = site.front(at, site.plan(at, 0, List.of()), step.equals("heard") ? "none" : step, 0);
             HttpResponse<String> heard = first.ask(what, "book-1", async);
             if (step.equals("heard")) {
                 assertEquals(async ? 202 : 200, heard.statusCode(), what);
@@ -151,7 +91,7 @@
             }
             assertTrue(first.process.waitFor(20, TimeUnit.SECONDS), what + " was not reached");
             assertEquals(FaultyFrontEnd.KILLED, first.process.exitValue(), what);
-            FrontEndChild second = front(at, plan(at, 0, List.of()), "none");
+            FrontEndChild second = site.front(at, site.plan(at, 0, List.of()), "none", 0);
             HttpResponse<String> answer = second.askOn(what, "book-1");
             if (heard != null && heard.statusCode() == 200) {
                 assertEquals(heard.body(), answer.body(), what);
@@ -160,42 +100,29 @@
             second.kill();
             return null;
         });
-        fleet.close();
-        Map<String, List<JsonNode>> ran = transcript("ran", "mark");
+        site.fleet.close();
+        Map<String, List<JsonNode>> ran = site.transcript("ran", "mark");
         for (String what : cases) {
             assertEquals(1, ran.getOrDefault("yard/" + what, List.of()).size(), what);
         }
         // One content for one id, however often it went out.
-        transcript("webhook", "id").forEach((id, sent) -> {
+        site.transcript("webhook", "id").forEach((id, sent) -> {
             Set<String> bodies = new HashSet<>();
             sent.forEach(one -> bodies.add(one.path("body").asText()));
             assertEquals(1, bodies.size(), id);
         });
     }
 
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            sockets.add(new ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress()));
-            ports.add(sockets.get(i).getLocalPort());
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
-        }
-        return ports;
-    }
-
     /** Claims among three: whoever is asked ends at a step; the repeat goes to another, which must not run it anew. */
     @Test
     void endedAtEveryStepAmongThreeItRunsOnce() throws Exception {
         List<String> cases = steps(3);
         all(cases, AT_ONCE / 2, step -> () -> {
             Path at = folder.resolve("three-" + step.replace(':', '-'));
-            List<Integer> ports = freePorts(6);
+            List<Integer> ports = ReservationSite.freePorts(6);
             FrontEndChild[] fronts = new FrontEndChild[3];
             for (int i = 0; i < 3; i++) {
-                fronts[i] = front(at, plan(at, i, ports), i == 0 && !step.equals("heard") ? step : "none");
+                fronts[i] = site.front(at, site.plan(at, i, ports), i == 0 && !step.equals("heard") ? step : "none", 0);
             }
             HttpResponse<String> heard = null;
             if (step.equals("heard")) {
@@ -210,7 +137,7 @@
             }
             HttpResponse<String> elsewhere = fronts[1].ask("three-" + step, "book-1", false);
             assertNotEquals(null, elsewhere);
-            fronts[0] = front(at, plan(at, 0, ports), "none");
+            fronts[0] = site.front(at, site.plan(at, 0, ports), "none", 0);
             String answer = fronts[2].askOn("three-" + step, "book-1").body();
             assertEquals(answer, fronts[0].askOn("three-" + step, "book-1").body(), step);
             if (heard != null && heard.statusCode() == 200) {
@@ -221,8 +148,8 @@
             }
             return null;
         });
-        fleet.close();
-        Map<String, List<JsonNode>> ran = transcript("ran", "mark");
+        site.fleet.close();
+        Map<String, List<JsonNode>> ran = site.transcript("ran", "mark");
         for (String step : cases) {
             assertEquals(1, ran.getOrDefault("yard/three-" + step, List.of()).size(), step);
         }
@@ -231,10 +158,10 @@
     /** Two keepers whose clocks are an hour ahead for one life still know whose it was. */
     @Test
     void whatKeepersHoldOutlastsAWrongClock() throws Exception {
-        List<Integer> ports = freePorts(6);
+        List<Integer> ports = ReservationSite.freePorts(6);
         FrontEndChild[] fronts = new FrontEndChild[3];
         for (int i = 0; i < 3; i++) {
-            fronts[i] = front(folder, plan(folder, i, ports), "none");
+            fronts[i] = site.front(folder, site.plan(folder, i, ports), "none", 0);
         }
         String answer = fronts[0].askOn("kept", "book-1").body();
         for (FrontEndChild front : fronts) {
@@ -242,43 +169,43 @@
         }
         for (long ahead : new long[] {3_600_000, 0}) {
             for (int i = 1; i < 3; i++) {
-                fronts[i] = new FrontEndChild(folder, plan(folder, i, ports), "none", key, processes, ahead);
+                fronts[i] = site.front(folder, site.plan(folder, i, ports), "none", ahead);
             }
             fronts[1].askOn("other-" + ahead, "book-1");
             if (ahead == 0) {
                 assertEquals(504, fronts[1].ask("kept", "book-1", false).statusCode());
                 assertEquals(504, fronts[2].ask("kept", "book-1", false).statusCode());
-                fronts[0] = front(folder, plan(folder, 0, ports), "none");
+                fronts[0] = site.front(folder, site.plan(folder, 0, ports), "none", 0);
                 assertEquals(answer, fronts[1].askOn("kept", "book-1").body());
                 fronts[0].kill();
             }
             fronts[1].kill();
             fronts[2].kill();
         }
-        fleet.close();
-        assertEquals(1, transcript("ran", "mark").get("yard/kept").size());
+        site.fleet.close();
+        assertEquals(1, site.transcript("ran", "mark").get("yard/kept").size());
     }
 
     /** What needs the ledger is shed while the disk is full, the rest is returned; then all is. */
     @Test
     void aFullDiskShedsWhatNeedsItAndNothingElse() throws Exception {
-        FrontEndChild front = front(folder, plan(folder, 0, List.of()), "full:2500");
+        FrontEndChild front = site.front(folder, site.plan(folder, 0, List.of()), "full:2500", 0);
         assertEquals(503, front.ask("first", "book-1", false).statusCode(), "its intent could not be durable");
         assertEquals(503, front.ask("second", "book-1", false).statusCode());
         assertEquals(200, front.ask("free", "look-1", false).statusCode());
         assertEquals(200, front.askOn("first", "book-1").statusCode());
         front.kill();
-        FrontEndChild again = front(folder, plan(folder, 0, List.of()), "none");
+        FrontEndChild again = site.front(folder, site.plan(folder, 0, List.of()), "none", 0);
         assertEquals(200, again.askOn("first", "book-1").statusCode());
-        fleet.close();
-        assertEquals(1, transcript("ran", "mark").get("yard/first").size());
-        assertEquals(null, transcript("ran", "mark").get("yard/second"));
+        site.fleet.close();
+        assertEquals(1, site.transcript("ran", "mark").get("yard/first").size());
+        assertEquals(null, site.transcript("ran", "mark").get("yard/second"));
     }
 
     /** One force serves all that waits: many at once take no longer than a few. */
     @Test
     void aSlowDiskIsSharedByAllThatWait() throws Exception {
-        FrontEndChild front = front(folder, plan(folder, 0, List.of()), "slow:50");
+        FrontEndChild front = site.front(folder, site.plan(folder, 0, List.of()), "slow:50", 0);
         List<String> ids = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
             ids.add("slow-" + i);
@@ -292,24 +219,24 @@
         int[] records = new int[1];
         gradereach.ledger.disk.LedgerFolder.read(ledger, false, (record, segment) -> records[0]++);
         assertEquals(400, records[0]);
-        fleet.close();
-        transcript("ran", "mark").forEach((mark, runs) -> assertEquals(1, runs.size(), mark));
+        site.fleet.close();
+        site.transcript("ran", "mark").forEach((mark, runs) -> assertEquals(1, runs.size(), mark));
     }
 
     /** A signature played again after a restart, under the same id with another body, and under another's id. */
     @Test
     void aReplayAfterARestartRunsNothing() throws Exception {
-        FrontEndChild first = front(folder, plan(folder, 0, List.of()), "none");
+        FrontEndChild first = site.front(folder, site.plan(folder, 0, List.of()), "none", 0);
         String answer = first.askOn("once", "book-1").body();
         first.kill();
-        FrontEndChild second = front(folder, plan(folder, 0, List.of()), "none");
+        FrontEndChild second = site.front(folder, site.plan(folder, 0, List.of()), "none", 0);
         for (int i = 0; i < 5; i++) {
             assertEquals(answer, second.ask("once", "book-1", false).body());
         }
         assertEquals(409, second.ask("once", "book-2", false).statusCode());
         second.kill();
-        fleet.close();
-        assertEquals(1, transcript("ran", "mark").get("yard/once").size());
+        site.fleet.close();
+        assertEquals(1, site.transcript("ran", "mark").get("yard/once").size());
     }
 
     /** The ledger of a front end that is down is told that so much time has passed, by both clocks that it goes by. */
@@ -329,7 +256,7 @@
     @Test
     void aReplayBehindAClockThatWasSetBackRunsNothing() throws Exception {
         long elevenMinutes = 660_000;
-        FrontEndChild first = front(folder, plan(folder, 0, List.of()), "none");
+        FrontEndChild first = site.front(folder, site.plan(folder, 0, List.of()), "none", 0);
         long signedAt = System.currentTimeMillis() / 1000;
         HttpResponse<String> answer;
         do {
@@ -338,14 +265,14 @@
         assertEquals(200, answer.statusCode());
         first.kill();
         passes(0, elevenMinutes);
-        FrontEndChild second = new FrontEndChild(folder, plan(folder, 0, List.of()), "none", key, processes, elevenMinutes);
+        FrontEndChild second = site.front(folder, site.plan(folder, 0, List.of()), "none", elevenMinutes);
         second.askOn("other", "book-1");
         second.kill();
-        FrontEndChild third = front(folder, plan(folder, 0, List.of()), "none");
+        FrontEndChild third = site.front(folder, site.plan(folder, 0, List.of()), "none", 0);
         HttpResponse<String> replayed = third.ask("old", "book-1", false, signedAt);
         third.kill();
-        fleet.close();
-        assertEquals(1, transcript("ran", "mark").get("yard/old").size(), "it ran; the replay heard " + replayed.statusCode());
+        site.fleet.close();
+        assertEquals(1, site.transcript("ran", "mark").get("yard/old").size(), "it ran; the replay heard " + replayed.statusCode());
         assertEquals(400, replayed.statusCode());
     }
 
@@ -356,10 +283,10 @@
     @Test
     void whatKeepersForgotIsNotTakenAnew() throws Exception {
         long elevenMinutes = 660_000;
-        List<Integer> ports = freePorts(6);
+        List<Integer> ports = ReservationSite.freePorts(6);
         FrontEndChild[] fronts = new FrontEndChild[3];
         for (int i = 0; i < 3; i++) {
-            fronts[i] = front(folder, plan(folder, i, ports), "none");
+            fronts[i] = site.front(folder, site.plan(folder, i, ports), "none", 0);
         }
         long signedAt = System.currentTimeMillis() / 1000;
         assertEquals(200, askUntilAnswered(fronts[0], signedAt).statusCode());
@@ -369,7 +296,7 @@
         }
         for (long ahead : new long[] {elevenMinutes, 0}) {
             for (int i = 1; i < 3; i++) {
-                fronts[i] = new FrontEndChild(folder, plan(folder, i, ports), "none", key, processes, ahead);
+                fronts[i] = site.front(folder, site.plan(folder, i, ports), "none", ahead);
             }
             if (ahead > 0) {
                 fronts[1].askOn("other", "book-1");
@@ -381,8 +308,8 @@
         for (int i = 0; i < REPLAYS; i++) {
             heard.add(fronts[1 + i % 2].ask("old", "book-1", false, signedAt).statusCode());
         }
-        fleet.close();
-        assertEquals(1, transcript("ran", "mark").get("yard/old").size(), "it ran; its replays heard " + heard);
+        site.fleet.close();
+        assertEquals(1, site.transcript("ran", "mark").get("yard/old").size(), "it ran; its replays heard " + heard);
         assertEquals(java.util.Collections.nCopies(REPLAYS, 504), heard);
     }
 
