Peers know how far a ledger had got, and tell a start that its folder is older

RestoredLedgerTest.peersKnowHowFarItHadGot failed before, 2 of 2 plays among three: "it ran; its repeats heard [200, 200, ...] ==> expected: <1> but was: <2>".

Cause: such a folder is the same to the last byte as it was; only others can know that it had got further.

Change: a claim tells how far its claimant's ledger has got, by its last segment and the bytes in it, durable; keepers keep the most, in the claim's record too. A start asks all peers (POST /v1/positions, signed like claims, 1 s at most) before it reads its ledger; where one knows of more, the folder is taken over as a copy, and goes on with a segment beyond.

Why it works: a position that was told was durable, so a whole folder has reached it; a torn tail was never told. Peers of an earlier version know nothing, as before. Not seen is what was written after the last claim that a reachable peer heard of: listed.

--- a/gateway/src/main/java/gradereach/claims/KeeperBook.java
+++ b/gateway/src/main/java/gradereach/claims/KeeperBook.java
@@ -1,6 +1,7 @@
 package gradereach.claims;
 
 import gradereach.desk.MessageIdentity;
+import gradereach.ledger.LedgerPosition;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
@@ -39,12 +40,15 @@
      */
     public record Word(boolean granted, String holder, boolean fresh) { }
 
+    private static final int MOST_CLAIMANTS = 10_000;
     private static final long NOTHING_FORGOTTEN = Long.MIN_VALUE;
 
     private final int most;
     private final double kept;
     private final Map<Key, Claim> claims = new HashMap<>();
     private final ArrayDeque<Claim> order = new ArrayDeque<>();
+    /** How far claimants' ledgers had got; a few for each front end, which has one and may lose it. */
+    private final Map<String, Long> reached = new HashMap<>();
     /** The latest signed timestamp among claims that are no longer known, Unix seconds; NOTHING_FORGOTTEN for none. */
     private long forgottenUpTo = NOTHING_FORGOTTEN;
 
@@ -115,6 +119,22 @@
         }
     }
 
+    /**
+     * A claimant's ledger had got so far.
+     *
+     * @param position see {@link LedgerPosition}
+     */
+    public void reached(String claimant, long position) {
+        if (reached.size() < MOST_CLAIMANTS || reached.containsKey(claimant)) {
+            reached.merge(claimant, position, Math::max);
+        }
+    }
+
+    /** How far a claimant's ledger is known to have got. */
+    public long reachedBy(String claimant) {
+        return reached.getOrDefault(claimant, LedgerPosition.UNKNOWN);
+    }
+
     public int size() {
         return claims.size();
     }
--- a/gateway/src/main/java/gradereach/claims/PeerClaims.java
+++ b/gateway/src/main/java/gradereach/claims/PeerClaims.java
@@ -13,9 +13,11 @@
 import gradereach.desk.Ledger;
 import gradereach.desk.MessageIdentity;
 import gradereach.desk.Timers;
+import gradereach.http2.Exchange;
 import gradereach.http2.Exchange.End;
 import gradereach.http2.Http2Pool;
 import gradereach.ledger.LedgerBook;
+import gradereach.ledger.LedgerPosition;
 import gradereach.ledger.LedgerRecord;
 import gradereach.message.FinalAnswer;
 import gradereach.webhook.KeyRing;
@@ -28,10 +30,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Claims among front ends over HTTP/2: {@code POST /v1/claims} to the keepers' peer listeners, each message a webhook
@@ -43,7 +51,11 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Http2Pool.Bounds BOUNDS = new Http2Pool.Bounds(2, 500, 250, 30_000, 16 << 20, 1 << 20);
+    private static final Logger LOG = LoggerFactory.getLogger(PeerClaims.class);
     private static final String SIGNED_AT = "signed_at";
+    private static final String POSITION = "position";
+    /** A connection and a trip, or the connect time-out. */
+    private static final long POSITION_PATIENCE_MILLIS = 1000;
     private static final double HAND_ON_EARLY = 20; // the answer still has to cross to the client
 
     private final String me;
@@ -120,6 +132,7 @@
             }
         }
         book.forgotten(ledgerBook.claimsForgottenUpTo());
+        ledgerBook.reached().forEach(book::reached);
     }
 
     // ---- as claimant -------------------------------------------------------------------------------------
@@ -159,31 +172,65 @@
     private void send(List<Message> out, Round round, Then then) {
         for (Message m : out) {
             if (m.keeper().equals(me)) {
-                keep(m.release(), m.about(), claimant, m.round(), word -> toDesk.accept(desk -> heard(round, then, me, word.granted(), word.holder())));
+                keep(m.release(), m.about(), new Claimant(claimant, ledger.position()), m.round(), word -> toDesk.accept(desk -> heard(round, then, me, word.granted(), word.holder())));
                 continue;
             }
             ObjectNode body = JSON.createObjectNode().put("claimant", claimant).put("release", m.release())
                     .put("customer", m.about().customer()).put("id", m.about().id()).put("round", m.round())
                     .put("digest_high", m.about().digestHigh()).put("digest_low", m.about().digestLow())
-                    .put(SIGNED_AT, m.about().signedAt());
+                    .put(SIGNED_AT, m.about().signedAt()).put(POSITION, ledger.position());
             digests.forEach(body.putArray("lists")::add);
-            byte[] bytes;
-            try {
-                bytes = JSON.writeValueAsBytes(body);
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-            String messageId = "claim-" + me + "-" + messages++;
-            long at = unixMillis.getAsLong() / 1000;
-            peers.get(m.keeper()).send("POST", PeerFront.PATH, bytes, (end, status, headers, answer) -> {
+            post(m.keeper(), PeerFront.PATH, body, (end, status, headers, answer) -> {
                 if (m.release()) {
                     return;
                 }
                 boolean yes = end == End.ANSWERED && status == 200;
                 String holder = end == End.ANSWERED && status == 409 ? holder(answer) : null;
                 toDesk.accept(desk -> heard(round, then, m.keeper(), yes, holder));
-            }, "content-type", "application/json", "webhook-id", messageId, "webhook-timestamp", Long.toString(at),
-                    "webhook-signature", KeyRing.header(List.of(key), messageId, at, bytes));
+            });
+        }
+    }
+
+    private void post(String peer, String path, ObjectNode body, Exchange then) {
+        byte[] bytes;
+        try {
+            bytes = JSON.writeValueAsBytes(body);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        String messageId = "claim-" + me + "-" + messages++;
+        long at = unixMillis.getAsLong() / 1000;
+        peers.get(peer).send("POST", path, bytes, then, "content-type", "application/json", "webhook-id", messageId,
+                "webhook-timestamp", Long.toString(at), "webhook-signature", KeyRing.header(List.of(key), messageId, at, bytes));
+    }
+
+    /**
+     * Before the first moment: how far peers know this front end's ledger to have got. Those that cannot be asked now know
+     * nothing, and neither do those of an earlier version.
+     */
+    public long positionKnownToPeers(String ledgerIdentity) throws InterruptedException {
+        ObjectNode body = JSON.createObjectNode().put("claimant", me + "/" + ledgerIdentity);
+        List<CompletableFuture<Long>> answers = new ArrayList<>();
+        for (String peer : peers.keySet()) {
+            CompletableFuture<Long> told = new CompletableFuture<>();
+            answers.add(told);
+            post(peer, PeerFront.POSITIONS_PATH, body, (end, status, headers, answer) -> told.complete(
+                    end == End.ANSWERED && status == 200 ? position(answer) : LedgerPosition.UNKNOWN));
+        }
+        CompletableFuture<Void> all = CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]));
+        try {
+            all.get(POSITION_PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException | ExecutionException e) {
+            LOG.atWarn().log("not all peers told in time how far this ledger had got");
+        }
+        return answers.stream().mapToLong(told -> told.getNow(LedgerPosition.UNKNOWN)).max().orElse(LedgerPosition.UNKNOWN);
+    }
+
+    private static long position(byte[] answer) {
+        try {
+            return JSON.readTree(answer).path(POSITION).asLong(LedgerPosition.UNKNOWN);
+        } catch (IOException e) {
+            return LedgerPosition.UNKNOWN;
         }
     }
 
@@ -203,6 +250,14 @@
         return ring.judge(id, timestamp, signature, body, unixMillis.getAsLong() / 1000, 0).refusal() == null;
     }
 
+    /** A peer asks how far its ledger is known to have got; {@code reply} gets a body. From any thread. */
+    void askedForPosition(JsonNode message, Consumer<String> reply) {
+        toDesk.accept(desk -> {
+            long position = book.reachedBy(message.path("claimant").asText());
+            reply.accept("{\"" + POSITION + "\":" + position + "}");
+        });
+    }
+
     /** A peer's claim or release; {@code reply} gets an HTTP status and a body. From any thread. */
     void asked(JsonNode m, java.util.function.BiConsumer<Integer, String> reply) {
         boolean known = false;
@@ -217,8 +272,8 @@
         MessageIdentity about = new MessageIdentity(m.path("customer").asText(), m.path("id").asText(),
                 m.path("digest_high").asLong(), m.path("digest_low").asLong(),
                 m.path(SIGNED_AT).asLong(MessageIdentity.SIGNED_AT_UNKNOWN));
-        toDesk.accept(desk -> keep(m.path("release").asBoolean(), about, m.path("claimant").asText(), m.path("round").asLong(),
-                word -> {
+        Claimant who = new Claimant(m.path("claimant").asText(), m.path(POSITION).asLong(LedgerPosition.UNKNOWN));
+        toDesk.accept(desk -> keep(m.path("release").asBoolean(), about, who, m.path("round").asLong(), word -> {
                     if (word.granted()) {
                         reply.accept(200, "{}");
                     } else if (word.holder() != null) {
@@ -229,15 +284,19 @@
                 }));
     }
 
-    private void keep(boolean release, MessageIdentity about, String who, long round, Consumer<Word> reply) {
+    /** A front end with its ledger, and how far that had got. */
+    private record Claimant(String name, long position) { }
+
+    private void keep(boolean release, MessageIdentity about, Claimant who, long round, Consumer<Word> reply) {
         double now = clock.getAsDouble();
+        book.reached(who.name, who.position);
         if (release) {
-            book.release(about.customer(), about.id(), who, round);
+            book.release(about.customer(), about.id(), who.name, round);
             reply.accept(new Word(true, null, false));
             return;
         }
         long signableUntil = unixMillis.getAsLong() / 1000 + LedgerRecord.TIMESTAMP_TOLERANCE;
-        Word word = book.claim(about, who, round, now, signableUntil);
+        Word word = book.claim(about, who.name, round, now, signableUntil);
         kept.present(book.size());
         if (!word.granted()) {
             refused.increment();
@@ -246,7 +305,7 @@
         }
         // Also where it was granted before: that record may still be on its way to the disk.
         ledger.append(new LedgerRecord.Claimed(about.customer(), about.id(), ledger.time().at(now), about.digestHigh(),
-                about.digestLow(), who, about.signedAtLatest(signableUntil).signedAt()), durable -> {
+                about.digestLow(), who.name, about.signedAtLatest(signableUntil).signedAt(), who.position), durable -> {
                     if (durable) {
                         granted.increment();
                         reply.accept(word);
--- a/gateway/src/main/java/gradereach/claims/PeerFront.java
+++ b/gateway/src/main/java/gradereach/claims/PeerFront.java
@@ -33,6 +33,7 @@
 /** Listens for other front ends' claims; HTTP/2 without TLS, prior knowledge. */
 public final class PeerFront implements AutoCloseable {
     static final String PATH = "/v1/claims";
+    static final String POSITIONS_PATH = "/v1/positions";
     private static final int LARGEST = 8192; // names and numbers only
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -79,7 +80,8 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             byte[] body = ByteBufUtil.getBytes(request.content());
-            if (!request.uri().equals(PATH) || !claims.signed(request.headers().get("webhook-id"),
+            boolean asksForPosition = request.uri().equals(POSITIONS_PATH);
+            if (!(request.uri().equals(PATH) || asksForPosition) || !claims.signed(request.headers().get("webhook-id"),
                     request.headers().get("webhook-timestamp"), request.headers().get("webhook-signature"), body)) {
                 forged.refuse();
                 answer(ctx, 401, "{}");
@@ -92,6 +94,10 @@
                 answer(ctx, 400, "{}");
                 return;
             }
+            if (asksForPosition) {
+                claims.askedForPosition(message, text -> ctx.executor().execute(() -> answer(ctx, 200, text)));
+                return;
+            }
             claims.asked(message, (status, text) -> ctx.executor().execute(() -> answer(ctx, status, text)));
         }
 
--- a/gateway/src/main/java/gradereach/desk/Ledger.java
+++ b/gateway/src/main/java/gradereach/desk/Ledger.java
@@ -1,5 +1,6 @@
 package gradereach.desk;
 
+import gradereach.ledger.LedgerPosition;
 import gradereach.ledger.LedgerRecord;
 import gradereach.ledger.LedgerTime;
 
@@ -19,6 +20,11 @@
 
     void append(LedgerRecord record, Then then);
 
+    /** How far it has got, durably ({@link LedgerPosition}). */
+    default long position() {
+        return LedgerPosition.UNKNOWN;
+    }
+
     /** The time that its records carry. */
     default LedgerTime time() {
         return LedgerTime.MODULE;
--- a/gateway/src/main/java/gradereach/ledger/LedgerBook.java
+++ b/gateway/src/main/java/gradereach/ledger/LedgerBook.java
@@ -2,6 +2,7 @@
 
 import gradereach.message.FinalAnswer;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -128,6 +129,8 @@
     /** The latest signed timestamp among claims that are no longer on record, Unix seconds; Long.MIN_VALUE for none. */
     private long claimsForgottenUpTo = Long.MIN_VALUE;
 
+    /** How far claimants' ledgers had got, as their claims told. */
+    private final Map<String, Long> reached = new HashMap<>();
     private final Map<Key, Message> messages = new LinkedHashMap<>();
     private final Map<Key, Claim> claims = new LinkedHashMap<>();
     private final List<String> oddities = new ArrayList<>();
@@ -153,6 +156,7 @@
     public void apply(LedgerRecord record) {
         Key key = new Key(record.customer(), record.id());
         if (record instanceof LedgerRecord.Claimed r) {
+            reached.merge(r.claimant(), r.claimantPosition(), Math::max);
             claims.put(key, new Claim(r.customer(), r.id(), r.at(), r.digestHigh(), r.digestLow(), r.claimant(), r.signedAt()));
             return;
         }
@@ -218,6 +222,11 @@
         return messages.get(new Key(customer, id));
     }
 
+    /** How far the ledgers of those who claimed had got, by claimant. */
+    public Map<String, Long> reached() {
+        return reached;
+    }
+
     public Iterable<Claim> claims() {
         return claims.values();
     }
--- a/gateway/src/main/java/gradereach/ledger/LedgerRecord.java
+++ b/gateway/src/main/java/gradereach/ledger/LedgerRecord.java
@@ -56,12 +56,13 @@
      * As a keeper: the message belongs to that front end and no other.
      *
      * @param signedAt the message's signed timestamp, Unix seconds
+     * @param claimantPosition how far the claimant's ledger had got as it claimed ({@link LedgerPosition})
      */
-    record Claimed(String customer, String id, double at, long digestHigh, long digestLow, String claimant, long signedAt)
-            implements LedgerRecord {
-        /** As it was written before timestamps were recorded. */
+    record Claimed(String customer, String id, double at, long digestHigh, long digestLow, String claimant, long signedAt,
+            long claimantPosition) implements LedgerRecord {
+        /** As it was written before timestamps and positions were recorded. */
         public Claimed(String customer, String id, double at, long digestHigh, long digestLow, String claimant) {
-            this(customer, id, at, digestHigh, digestLow, claimant, signableUntil(at));
+            this(customer, id, at, digestHigh, digestLow, claimant, signableUntil(at), LedgerPosition.UNKNOWN);
         }
     }
 }
--- a/gateway/src/main/java/gradereach/ledger/RecordCodec.java
+++ b/gateway/src/main/java/gradereach/ledger/RecordCodec.java
@@ -55,7 +55,7 @@
         } else if (record instanceof LedgerRecord.Claimed r) {
             out.putLong(r.digestHigh()).putLong(r.digestLow());
             put(out, r.claimant());
-            out.putLong(r.signedAt());
+            out.putLong(r.signedAt()).putLong(r.claimantPosition());
         }
         int length = out.position() - HEAD;
         byte[] frame = java.util.Arrays.copyOf(out.array(), HEAD + length);
@@ -116,7 +116,7 @@
                         from.get() != 0);
                 case 6 -> new LedgerRecord.Claimed(customer, id, time, from.getLong(), from.getLong(), text(from));
                 case 7 -> intended(from, customer, id, time);
-                case 8 -> new LedgerRecord.Claimed(customer, id, time, from.getLong(), from.getLong(), text(from), from.getLong());
+                case 8 -> new LedgerRecord.Claimed(customer, id, time, from.getLong(), from.getLong(), text(from), from.getLong(), from.getLong());
                 default -> throw new BadFrame("type " + type, false);
             };
         } catch (BufferUnderflowException | IndexOutOfBoundsException | NegativeArraySizeException e) {
--- a/gateway/src/main/java/gradereach/ledger/disk/DiskLedger.java
+++ b/gateway/src/main/java/gradereach/ledger/disk/DiskLedger.java
@@ -4,6 +4,7 @@
 import gradereach.desk.Ledger;
 import gradereach.ledger.CarryBook;
 import gradereach.ledger.CommitPace;
+import gradereach.ledger.LedgerPosition;
 import gradereach.ledger.LedgerRecord;
 import gradereach.ledger.LedgerTime;
 import gradereach.ledger.RecordCodec;
@@ -66,6 +67,7 @@
     private long segment;
     private long written;
     private long durable;
+    private volatile long position = LedgerPosition.UNKNOWN;
     private volatile boolean usable;
     private volatile boolean closing;
     private volatile boolean asleep;
@@ -116,6 +118,11 @@
         return marginNow;
     }
 
+    @Override
+    public long position() {
+        return position;
+    }
+
     @Override
     public LedgerTime time() {
         return time;
@@ -201,8 +208,7 @@
         }
         flush();
         out.force();
-        durable = written;
-        mark();
+        settled();
         bytesWritten.add(written - before);
         records.add(some.size());
         commits.increment();
@@ -247,6 +253,13 @@
         }
     }
 
+    /** All that was written is durable. */
+    private void settled() {
+        durable = written;
+        position = LedgerPosition.of(segment, durable);
+        mark();
+    }
+
     /** The mark is a help for the next start: what was forced is durable without it. */
     private void mark() {
         try {
@@ -270,8 +283,7 @@
             flush();
             out.force();
             folder.keepFileNumbers(segment);
-            durable = written;
-            mark();
+            settled();
             usable = disk.room(folder.folder) >= bounds.reserve;
         } catch (IOException e) {
             failed("segment", e);
--- a/gateway/src/main/java/gradereach/ledger/disk/LedgerFolder.java
+++ b/gateway/src/main/java/gradereach/ledger/disk/LedgerFolder.java
@@ -2,6 +2,7 @@
 
 import gradereach.counts.FailureText;
 import gradereach.ledger.LedgerBook;
+import gradereach.ledger.LedgerPosition;
 import gradereach.ledger.LedgerRecord;
 import gradereach.ledger.RecordCodec;
 import gradereach.ledger.SegmentScan;
@@ -80,7 +81,7 @@
         try {
             identity = identityOf(folder);
             if (fileNumbers.differ()) {
-                RestoredCopy.takeOver(this);
+                RestoredCopy.takeOver(this, LedgerPosition.UNKNOWN);
             }
         } catch (IOException | RuntimeException e) {
             close(); // the next attempt must find it free
@@ -124,6 +125,28 @@
         return new FileNumbers(folder).differ();
     }
 
+    /**
+     * Where the ledger had got further than it tells, the folder was restored from a copy, whatever its files look like: as by a
+     * snapshot of the file system.
+     *
+     * @param known how far it had got, as somebody else knows ({@link LedgerPosition})
+     */
+    public void mustHaveReached(long known) throws IOException {
+        if (known > position()) {
+            RestoredCopy.takeOver(this, known);
+        }
+    }
+
+    /** How far it has got, by what is whole. */
+    private long position() throws IOException {
+        List<Long> numbers = segments(folder);
+        if (numbers.isEmpty()) {
+            return LedgerPosition.UNKNOWN;
+        }
+        long last = numbers.get(numbers.size() - 1);
+        return LedgerPosition.of(last, segment(folder, last, true, mark(folder)).result.end());
+    }
+
     private long timestamp(String name) throws IOException {
         String text = KeptText.read(folder, name);
         return text == null ? Long.MIN_VALUE : Long.parseLong(text);
--- a/gateway/src/main/java/gradereach/ledger/disk/RestoredCopy.java
+++ b/gateway/src/main/java/gradereach/ledger/disk/RestoredCopy.java
@@ -1,6 +1,7 @@
 package gradereach.ledger.disk;
 
 import gradereach.ledger.LedgerBook;
+import gradereach.ledger.LedgerPosition;
 import gradereach.ledger.LedgerRecord;
 import gradereach.ledger.Recipient;
 import gradereach.message.FinalAnswer;
@@ -32,12 +33,16 @@
         this.opened = opened;
     }
 
-    /** Returns once all that it may have forgotten is durably of unknown end. */
-    static void takeOver(LedgerFolder opened) throws IOException {
-        new RestoredCopy(opened).takeOver();
+    /**
+     * Returns once all that it may have forgotten is durably of unknown end.
+     *
+     * @param reached how far the ledger is known to have got before: it goes on beyond that ({@link LedgerPosition})
+     */
+    static void takeOver(LedgerFolder opened, long reached) throws IOException {
+        new RestoredCopy(opened).takeOver(reached);
     }
 
-    private void takeOver() throws IOException {
+    private void takeOver(long reached) throws IOException {
         LedgerFolder.Found found = LedgerFolder.read(opened.folder, true, (record, segment) -> {
             book.apply(record);
             youngest = Math.max(youngest, record.at());
@@ -45,8 +50,9 @@
         long signedUpTo = LedgerRecord.signableUntil(latestTime() + KeyRing.REPLAYABLE_MILLIS);
         opened.suspect(signedUpTo);
         List<LedgerRecord> doubts = doubts();
-        append(doubts, found.nextSegment());
-        opened.keepFileNumbers(found.nextSegment());
+        long next = Math.max(found.nextSegment(), LedgerPosition.segment(reached) + 1);
+        append(doubts, next);
+        opened.keepFileNumbers(next);
         LOG.atError().addKeyValue("folder", opened.folder).addKeyValue("messages", doubts.size()).addKeyValue("signed_up_to", signedUpTo)
                 .log("ledger restored from a copy: what its front end did since is not in it, so what was not returned, and what is "
                         + "not known and signed by then, is answered as unknown");
--- a/gateway/src/main/java/gradereach/serve/Gateway.java
+++ b/gateway/src/main/java/gradereach/serve/Gateway.java
@@ -252,6 +252,9 @@
     private void recover() throws IOException, InterruptedException {
         long began = System.nanoTime();
         LedgerFolder folder = patiently("open " + plan.ledgerFolder(), () -> new LedgerFolder(plan.ledgerFolder()));
+        if (claims != null) {
+            folder.mustHaveReached(claims.positionKnownToPeers(folder.identity()));
+        }
         LedgerBook book = new LedgerBook();
         book.forgotten(folder.forgottenUpTo());
         book.claimsForgotten(folder.claimsForgottenUpTo());
--- a/gateway/src/test/java/gradereach/ledger/LedgerTest.java
+++ b/gateway/src/test/java/gradereach/ledger/LedgerTest.java
@@ -445,7 +445,7 @@
         java.nio.ByteBuffer.wrap(frame).putInt(4, (int) sum.getValue());
         List<LedgerRecord> read = new ArrayList<>();
         SegmentScan.scan("s", frame, 0, frame.length, -1, read::add);
-        assertEquals(List.of(new LedgerRecord.Claimed("yard", "m", 5000, 1, 2, "fe-1/x", 305)), read);
+        assertEquals(List.of(new LedgerRecord.Claimed("yard", "m", 5000, 1, 2, "fe-1/x", 305, 0)), read);
     }
 
     /** Killed while the next segment was made: no damage, neither at the next start nor at the one after. */
--- a/gateway/src/test/java/gradereach/ledger/disk/ForgottenClaimsTest.java
+++ b/gateway/src/test/java/gradereach/ledger/disk/ForgottenClaimsTest.java
@@ -41,7 +41,7 @@
 
     private void claimed(String id, double at, long signedAt) throws Exception {
         CompletableFuture<Boolean> durable = new CompletableFuture<>();
-        ledger.append(new LedgerRecord.Claimed("yard", id, at, 1, 2, "fe-1/x", signedAt), durable::complete);
+        ledger.append(new LedgerRecord.Claimed("yard", id, at, 1, 2, "fe-1/x", signedAt, 0), durable::complete);
         assertTrue(durable.get(10, TimeUnit.SECONDS));
     }
 
--- a/gateway/src/test/java/gradereach/ledger/disk/RestoredCopyTest.java
+++ b/gateway/src/test/java/gradereach/ledger/disk/RestoredCopyTest.java
@@ -33,7 +33,7 @@
     void openedOnce() throws IOException {
         ledger = folder.resolve("ledger");
         try (LedgerFolder opened = new LedgerFolder(ledger)) {
-            append(opened, 1, new LedgerRecord.Claimed("yard", "claim", AT, 1, 2, "fe-1/x", SIGNED_AT));
+            append(opened, 1, new LedgerRecord.Claimed("yard", "claim", AT, 1, 2, "fe-1/x", SIGNED_AT, 0));
         }
     }
 
--- a/rehearsal/src/test/java/gradereach/rehearsal/RestoredLedgerTest.java
+++ b/rehearsal/src/test/java/gradereach/rehearsal/RestoredLedgerTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A front end's ledger is restored from a copy that was made before a reservation: it must not run a second time. */
 @Timeout(60)
@@ -138,6 +139,50 @@
         ranOnce("since", heard);
     }
 
+    /**
+     * Put back with the numbers of its files, as by a snapshot of the file system: the folder cannot tell, the peers can. A
+     * snapshot that was taken while it ran lacks a reservation, and one after it that the peers heard of.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void peersKnowHowFarItHadGot(boolean takenWhileItRan) throws Exception {
+        ports = ReservationSite.freePorts(6);
+        FrontEndChild peer = front(1);
+        front(2);
+        FrontEndChild running = front(0);
+        running.askOn("before", MODEL);
+        Path ledger = ReservationSite.ledger(folder, 0);
+        Path copy;
+        if (takenWhileItRan) {
+            copy = copy(ledger, folder.resolve("copy"));
+        } else {
+            running.kill();
+            copy = copy(ledger, folder.resolve("copy"));
+            running = front(0);
+        }
+        running.askOn("since", MODEL);
+        running.askOn("after", MODEL);
+        running.kill();
+        restore(copy, ledger, Restored.AFTER_DELETING_IT);
+        tellOwnNumbers(ledger);
+        FrontEndChild restored = front(0);
+        List<Integer> heard = repeats(restored, "since");
+        heard.addAll(repeats(peer, "since"));
+        restored.kill();
+        heard.addAll(repeats(front(0), "since"));
+        ranOnce("since", heard);
+        assertFalse(LedgerFolder.isRestoredCopy(ledger));
+    }
+
+    private static void tellOwnNumbers(Path ledger) throws IOException {
+        List<String> lines = new ArrayList<>();
+        for (String line : Files.readAllLines(ledger.resolve("files"))) {
+            Path file = ledger.resolve(line.split(" ")[0]);
+            lines.add(file.getFileName() + " " + Files.getAttribute(file, "unix:ino"));
+        }
+        Files.write(ledger.resolve("files"), lines);
+    }
+
     /** As a keeper: it granted the reservation to another front end after the copy, and the third one was away then. */
     @Test
     void whatItGrantedSinceTheCopyIsNotGrantedAgain() throws Exception {
