The soak owes no answer for what a late client wrote to a process that had exited

KilledFrontEndTest, which forces the order on sockets, failed before at its first try: "NO_ANSWER ... asked at 412, never answered".

Cause, in the harness: Soak.kill dates the kill once the process has exited, and ends its clients after that. A client whose loop is late has the end of its connection unread, and asks once more on it: dated after the kill, so owed.

Change: what is written to a front end after its process was seen to exit reaches nobody and is no request, until a process listens at that address again. The evidence is the process's own exit; there is no span of grace, and every other request is judged as before (rows: a millisecond before the exit, another front end, a process that listens there again).

--- a/rehearsal/src/main/java/gradereach/rehearsal/soak/Soak.java
+++ b/rehearsal/src/main/java/gradereach/rehearsal/soak/Soak.java
@@ -174,6 +174,7 @@
             crashes.add(name + " under " + draw.faults + ": " + e.getMessage());
             return;
         }
+        auditor.listens(process.address);
         List<RequestClient> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS_EACH && !out; i++) {
             RequestClient client = new RequestClient(loops, auditor, process.address, draw.seed + i);
@@ -286,8 +287,11 @@
         nodes.remove(node);
         scripts.begin(() -> {
             node.process().signal("KILL");
-            node.process().ended(DOWN_MILLIS);
+            boolean exited = node.process().ended(DOWN_MILLIS);
             auditor.killed(node.process().address, loops.now());
+            if (exited) {
+                auditor.exited(node.process().address, loops.now());
+            }
             node.clients().forEach(RequestClient::end);
             begin(next);
         });
--- a/standins/src/main/java/gradereach/standins/frames/RequestAuditor.java
+++ b/standins/src/main/java/gradereach/standins/frames/RequestAuditor.java
@@ -125,6 +125,8 @@
     private final List<LateSend> lateSends = new ArrayList<>();
     private final List<LateAttempt> lateAttempts = new ArrayList<>();
     private final Map<Object, FrontEndRecord> records = new HashMap<>();
+    /** When the process of a front end had exited, where nobody has listened at its address since. */
+    private final Map<Object, Double> exits = new HashMap<>();
     private final Map<Allowance, Integer> allowed = new EnumMap<>(Allowance.class);
     private final List<Finding> findings = new ArrayList<>();
     private final List<DatedFinding> longDeadlines = new ArrayList<>();
@@ -163,7 +165,9 @@
      * @param repeatable whether it may run more than once
      */
     public synchronized void asked(String id, Object frontEnd, double at, double budget, boolean repeatable) {
-        requests.put(id, new Request(frontEnd, at, budget, repeatable));
+        Request request = new Request(frontEnd, at, budget, repeatable);
+        request.excused = reachesNobody(frontEnd, at);
+        requests.put(id, request);
     }
 
     /** Its process was ended without a word: what it had not answered by then is owed by nobody. */
@@ -175,6 +179,24 @@
         }
     }
 
+    /**
+     * Its process has exited: what is written from then on, on a connection that was open still, reaches nobody, and is no
+     * request. Until {@link #listens}.
+     */
+    public synchronized void exited(Object frontEnd, double at) {
+        exits.put(frontEnd, at);
+    }
+
+    /** A process listens at the address of a front end. */
+    public synchronized void listens(Object frontEnd) {
+        exits.remove(frontEnd);
+    }
+
+    private boolean reachesNobody(Object frontEnd, double at) {
+        Double exitedAt = exits.get(frontEnd);
+        return exitedAt != null && at >= exitedAt;
+    }
+
     /** A front end had no processor: what had to be answered meanwhile, or right after, cannot have been. */
     public synchronized void stoodStill(Object frontEnd, double from, double to) {
         standstills.add(frontEnd, from, to);
--- a/standins/src/test/java/gradereach/standins/frames/RequestAuditorTest.java
+++ b/standins/src/test/java/gradereach/standins/frames/RequestAuditorTest.java
@@ -286,4 +286,17 @@
         auditor.killed(frontEnd, killedAt);
         assertEquals(breach == null ? List.of() : List.of(breach), breaches());
     }
+
+    /** Guards against a breach by what was written to nobody, and against excusing what a process may have read. */
+    @ParameterizedTest
+    @CsvSource({"n1, 100, false, ", "n1, 101, false, NO_ANSWER", "n2, 100, false, NO_ANSWER", "n1, 100, true, NO_ANSWER"})
+    void whatIsWrittenToAProcessThatHasExitedIsNoRequest(String frontEnd, double exitedAt, boolean anotherListens, Breach breach) {
+        auditor.exited(frontEnd, exitedAt);
+        if (anotherListens) {
+            auditor.listens(frontEnd);
+        }
+        auditor.asked("a", "n1", 100, 1000, true);
+        auditor.connectionEnded("a", 106, CLIENT_PORT, 300);
+        assertEquals(breach == null ? List.of() : List.of(breach), breaches());
+    }
 }
