A shed reservation in RestartInquirySocketTest says "harmless" and is not shed for ever

Change: each 503 must say that a repeat is harmless, and none may come once the front end should be ready: 30 s after its start, the operators' bound. It holds for all plays that ask until they are taken.

--- a/rehearsal/src/test/java/gradereach/rehearsal/FrontEndChild.java
+++ b/rehearsal/src/test/java/gradereach/rehearsal/FrontEndChild.java
@@ -18,14 +18,19 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /** A front end with one fault as a process of its own, and a client that asks it. */
 final class FrontEndChild {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final HttpClient CLIENT = HttpClient.newHttpClient();
     private static final long ALWAYS = 1_000_000; // milliseconds
+    private static final int SHED = 503;
+    /** In which every front end is ready after its start, by the operators' terms. */
+    private static final long READY_WITHIN_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     final Process process;
+    private final long startedAt = System.nanoTime();
     private final URI address;
     private final WebhookKey key;
     private final long clockAhead;
@@ -81,12 +86,17 @@
         }
     }
 
-    /** Asks until it is not shed any more: nothing of it has left before. Null where the connection broke. */
+    /**
+     * Asks until it is not shed any more, which a front end that has just started may do until it is ready. Nothing of what is
+     * shed has left, so that each time its client must be told that a repeat is harmless. Null where the connection broke.
+     */
     HttpResponse<String> askUntilTaken(String id, String model) throws InterruptedException {
-        HttpResponse<String> answer;
-        do {
+        HttpResponse<String> answer = ask(id, model, false);
+        while (answer != null && answer.statusCode() == SHED) {
+            assertTrue(answer.body().contains("\"repeat_harmless\":true"), id + " was shed, and its client told " + answer.body());
+            assertTrue(System.nanoTime() - startedAt < READY_WITHIN_NANOS, id + " is shed by a front end that should be ready");
             answer = ask(id, model, false);
-        } while (answer != null && answer.statusCode() == 503);
+        }
         return answer;
     }
 
