LedgerFolder: reading and checking one segment is a record of its own

Change: SegmentFile is one segment as read, with its torn tail's cutting off; moved as it was. No behaviour changes.

--- a/gateway/src/main/java/gradereach/ledger/disk/LedgerFolder.java
+++ b/gateway/src/main/java/gradereach/ledger/disk/LedgerFolder.java
@@ -1,13 +1,10 @@
 package gradereach.ledger.disk;
 
-import gradereach.counts.FailureText;
 import gradereach.ledger.LedgerBook;
 import gradereach.ledger.LedgerPosition;
 import gradereach.ledger.LedgerRecord;
 import gradereach.ledger.RecordCodec;
-import gradereach.ledger.SegmentScan;
 import gradereach.ledger.SegmentScan.Damage;
-import gradereach.loop.StartRetry;
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -31,8 +28,6 @@
 import java.util.concurrent.Future;
 import java.util.function.BiConsumer;
 import java.util.zip.CRC32C;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * The folder of one front end's ledger: segments {@code NNNNNNNNNNNNNNNN.ledger} (hexadecimal, ascending), the mark
@@ -41,7 +36,6 @@
  * ({@link FileNumbers}), up to when it is {@code suspect} since it was restored from a copy ({@link RestoredCopy}), and a lock.
  */
 public final class LedgerFolder implements Closeable {
-    private static final Logger LOG = LoggerFactory.getLogger(LedgerFolder.class);
     static final byte[] MAGIC = "gradereach ledger 1\n".getBytes(StandardCharsets.US_ASCII);
     private static final String ENDING = ".ledger";
     static final String IDENTITY = "identity";
@@ -144,7 +138,7 @@
             return LedgerPosition.UNKNOWN;
         }
         long last = numbers.get(numbers.size() - 1);
-        return LedgerPosition.of(last, segment(folder, last, true, mark(folder)).result.end());
+        return LedgerPosition.of(last, SegmentFile.read(folder, last, true, mark(folder)).result().end());
     }
 
     private long timestamp(String name) throws IOException {
@@ -199,10 +193,6 @@
         return numbers;
     }
 
-    /** One segment as read: whole frames in order, and what was not one. */
-    private record Segment(long number, String name, long length, List<LedgerRecord> records, SegmentScan.Result result,
-            long writtenAt) { }
-
     /** Segments read ahead of the one that is taken over: reading and checking costs more than taking over. */
     private static final int AHEAD = 3;
 
@@ -221,26 +211,26 @@
         long[] durable = mark(folder);
         ExecutorService readers = Executors.newFixedThreadPool(AHEAD);
         try {
-            ArrayDeque<Future<Segment>> ahead = new ArrayDeque<>();
+            ArrayDeque<Future<SegmentFile>> ahead = new ArrayDeque<>();
             int submitted = 0;
             for (int i = 0; i < numbers.size(); i++) {
                 while (submitted < numbers.size() && submitted <= i + AHEAD) {
                     long number = numbers.get(submitted);
                     boolean last = ++submitted == numbers.size();
-                    ahead.add(readers.submit(() -> segment(folder, number, last, durable)));
+                    ahead.add(readers.submit(() -> SegmentFile.read(folder, number, last, durable)));
                 }
-                Segment segment = get(ahead.poll());
-                segment.records.forEach(record -> each.accept(record, segment.number));
-                total += segment.length;
-                damage.addAll(segment.result.damage());
-                records += segment.result.records();
-                torn += segment.result.torn();
-                if (!segment.result.damage().isEmpty()) {
-                    damagedAt = Math.max(damagedAt, segment.writtenAt);
-                } else if (mend && segment.result.end() == 0) {
-                    Files.delete(folder.resolve(segment.name)); // or it would be taken for damage once others follow
-                } else if (mend && segment.result.torn() > 0) {
-                    cutOff(folder.resolve(segment.name), segment.result.end());
+                SegmentFile segment = get(ahead.poll());
+                segment.records().forEach(record -> each.accept(record, segment.number()));
+                total += segment.length();
+                damage.addAll(segment.result().damage());
+                records += segment.result().records();
+                torn += segment.result().torn();
+                if (!segment.result().damage().isEmpty()) {
+                    damagedAt = Math.max(damagedAt, segment.writtenAt());
+                } else if (mend && segment.result().end() == 0) {
+                    Files.delete(folder.resolve(segment.name())); // or it would be taken for damage once others follow
+                } else if (mend && segment.result().torn() > 0) {
+                    SegmentFile.cutOff(folder.resolve(segment.name()), segment.result().end());
                 }
             }
         } finally {
@@ -249,25 +239,7 @@
         return new Found(damage, damagedAt, torn, records, total, numbers.isEmpty() ? 1 : numbers.get(numbers.size() - 1) + 1);
     }
 
-    /** A start must not fail by a disk that fails for a moment, and a torn tail must not stay. */
-    private static void cutOff(Path segment, long end) throws IOException {
-        try {
-            StartRetry.run(() -> {
-                try (FileChannel file = FileChannel.open(segment, StandardOpenOption.WRITE)) {
-                    file.truncate(end);
-                    file.force(true);
-                }
-                return end;
-            }, () -> true, failure -> LOG.atWarn().addKeyValue("segment", segment)
-                    .log("torn tail not cut off yet: {}", FailureText.of(failure)));
-        } catch (IOException | RuntimeException e) {
-            throw e;
-        } catch (Exception e) {
-            throw new IOException(e);
-        }
-    }
-
-    private static Segment get(Future<Segment> read) throws IOException {
+    private static SegmentFile get(Future<SegmentFile> read) throws IOException {
         try {
             return read.get();
         } catch (ExecutionException e) {
@@ -278,26 +250,6 @@
         }
     }
 
-    private static Segment segment(Path folder, long number, boolean last, long[] durable) throws IOException {
-        Path file = segment(folder, number);
-        String name = file.getFileName().toString();
-        byte[] bytes = Files.readAllBytes(file);
-        long writtenAt = Files.getLastModifiedTime(file).toMillis();
-        boolean marked = durable != null && durable[0] == number;
-        if (bytes.length < MAGIC.length || !java.util.Arrays.equals(bytes, 0, MAGIC.length, MAGIC, 0, MAGIC.length)) {
-            // The last one may have been killed while it was made.
-            SegmentScan.Result result = last && !marked ? new SegmentScan.Result(List.of(), 0, bytes.length, 0)
-                    : new SegmentScan.Result(List.of(new Damage(name, 0, bytes.length, "no ledger segment")), 0, 0, 0);
-            return new Segment(number, name, bytes.length, List.of(), result, writtenAt);
-        }
-        // Of the last segment only what the mark covers is known to have been durable.
-        long sure = !last ? -1 : marked ? durable[1] : MAGIC.length;
-        List<LedgerRecord> records = new ArrayList<>();
-        SegmentScan.Result found = SegmentScan.scan(name, bytes, MAGIC.length, bytes.length, sure, records::add);
-        SegmentScan.Result result = new SegmentScan.Result(found.damage(), found.end(), last ? found.torn() : 0, found.records());
-        return new Segment(number, name, bytes.length, records, result, writtenAt);
-    }
-
     /** What a compaction came to. */
     public record Compacted(Found found, int kept, long bytes) { }
 
