HeldProbesTest: a late probe lets nothing go to an executor that drains unheard

Change: the order is forced on sockets with a real front end, judged by the protocol's own bound. Executors of the stand-ins can hold all their probes.

--- a/rehearsal/src/test/java/gradereach/rehearsal/soak/SoakTest.java
+++ b/rehearsal/src/test/java/gradereach/rehearsal/soak/SoakTest.java
@@ -28,7 +28,7 @@
     @TempDir
     private Path folder;
 
-    private static List<String> command() throws IOException {
+    static List<String> command() throws IOException {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         for (String option : Files.readAllLines(OPTIONS)) {
             if (option.startsWith("-X") || option.startsWith("-D")) {
--- a/standins/src/main/java/gradereach/standins/frames/FrameExecutor.java
+++ b/standins/src/main/java/gradereach/standins/frames/FrameExecutor.java
@@ -40,6 +40,7 @@
     private final RequestAuditor auditor;
     private final Random chance;
     private volatile double drainsSince = Double.POSITIVE_INFINITY;
+    private volatile long probesHeldMillis;
     private volatile double probesLateUntil = Double.NEGATIVE_INFINITY;
     private volatile double answersLateUntil = Double.NEGATIVE_INFINITY;
     private volatile boolean ended;
@@ -132,6 +133,11 @@
         probesLateUntil = loops.now() + millis;
     }
 
+    /** From now on it answers every probe so much later, with what held when it came. */
+    public void holdProbes(long millis) {
+        probesHeldMillis = millis;
+    }
+
     /** Requests that came for what is not loaded. */
     public int misses() {
         return misses.get();
@@ -202,6 +208,10 @@
 
     /** Answers a probe, or a question about copies: what is said holds now, and may be said later. */
     private void tell(Channel to, ByteBuf said, ProbeHistory.Probe probe) {
+        if (probesHeldMillis > 0) {
+            to.eventLoop().schedule(() -> say(to, said, probe), probesHeldMillis, TimeUnit.MILLISECONDS);
+            return;
+        }
         if (loops.now() >= probesLateUntil) {
             say(to, said, probe);
             return;
