KilledFrontEndTest: a client that asks again before it is held ends the try

Seen: the 27th of 30 repeats in a row did not end, at a load of 17; its main thread was in the wait for the first answer (stack taken after ten minutes, two gigabytes of findings).

Cause: the test waited until nothing is owed. A client asks again 10 to 70 ms after its answer; where the test's thread was later than that, the next request was owed for ever, and the wait did not hear its time-out.

Change: a second request ends the try, which asks for another as before; the wait can be interrupted. No assertion changes.

--- a/standins/src/test/java/gradereach/standins/frames/KilledFrontEndTest.java
+++ b/standins/src/test/java/gradereach/standins/frames/KilledFrontEndTest.java
@@ -65,7 +65,7 @@
         in.readNBytes(length);
     }
 
-    /** Whether the client asked after the end, which depends on its draw of a pause. */
+    /** Whether the client asked after the end: not where it had asked again already before it was held. */
     private static boolean asksAfterTheEnd(List<RequestAuditor.Finding> found) throws Exception {
         ServerSocket frontEnd = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
         try (PeerLoops loops = new PeerLoops()) {
@@ -78,7 +78,10 @@
             readRequest(connection);
             connection.getOutputStream().write(ANSWER);
             while (!answered(auditor)) {
-                Thread.onSpinWait();
+                if (auditor.requests() > 1) {
+                    return false; // it has asked again before it was held
+                }
+                Thread.sleep(1);
             }
             Hold hold = new Hold(loops);
             hold.held.await();
