--- a/review/lib/Lab.java
+++ b/review/lib/Lab.java
@@ -99,6 +99,9 @@
         }
     }
 
+    /** A case runs for 120 seconds at most. */
+    private static final long MAX_MILLIS = 115_000;
+
     final Path root;
     final Path folder;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -118,6 +121,18 @@
         new java.security.SecureRandom().nextBytes(key);
         secret = "whsec_" + Base64.getEncoder().encodeToString(key);
         Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
+        Thread watchdog = new Thread(() -> {
+            try {
+                Thread.sleep(MAX_MILLIS);
+            } catch (InterruptedException e) {
+                return;
+            }
+            record("not over after " + MAX_MILLIS + " ms: nothing to judge, exit 2");
+            endProcesses();
+            Runtime.getRuntime().halt(2);
+        });
+        watchdog.setDaemon(true);
+        watchdog.start();
         writeKey("yard.key", secret);
         new java.security.SecureRandom().nextBytes(key);
         writeKey("peers.key", "whsec_" + Base64.getEncoder().encodeToString(key));
