Review: cases judge only what was taken, build.sh needs the command line's modules alone

build.sh built the benchmarks as well, whose library the deploy file's build does not fetch, so that it could not run without a network on a machine of its own; it builds -pl cli -am now, run offline with a repository from which all that was fetched later had been removed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,11 +1,10 @@
 #!/bin/sh
-# Builds what the cases start: the command line with the project's stand-ins, and the cases themselves. Needs no network where
-# the project has been built as its deploy file does and Maven's local repository holds what the command line needs.
+# Builds what the cases start: the command line with the project's stand-ins, and the cases themselves. Only the modules of the
+# command line: Maven then needs nothing but what the deploy file's build has left in its local repository, and no network.
 set -eu
 cd "$(dirname "$0")/.."
 if [ ! -e cli/target/gradereach.jar ] || [ ! -d cli/target/lib ]; then
-  mvn -o -B -ntp -q -DskipTests package || mvn -B -ntp -q -DskipTests package
-  # This build has written the jars anew; the class archive of the deploy file's build belongs to the earlier ones.
+  mvn -o -B -ntp -q -DskipTests -pl cli -am package
 fi
 rm -rf review/target
 mkdir -p review/target
--- a/review/lib/Lab.java
+++ b/review/lib/Lab.java
@@ -91,11 +91,14 @@
         }
     }
 
-    /** An answer; {@code status} is 0 where the connection ended without a whole one, and {@code detail} then says how. */
-    record Answer(int status, String detail, String body, double at) {
+    /**
+     * An answer; {@code status} is 0 where there was no whole one, and {@code detail} then says why. {@code taken}: the last byte of the
+     * request was written to a connection that had been accepted; without that nothing is owed.
+     */
+    record Answer(int status, boolean taken, String detail, String body, double at) {
         @Override
         public String toString() {
-            return status == 0 ? "NO ANSWER (" + detail + ")" : status + " " + body;
+            return status == 0 ? "NO ANSWER (" + detail + (taken ? ")" : "; not taken)") : status + " " + body;
         }
     }
 
@@ -247,6 +250,7 @@
     Answer post(int port, String path, Map<String, String> headers, byte[] body, int waitMillis) {
         ByteArrayOutputStream received = new ByteArrayOutputStream();
         String detail = "connection closed";
+        boolean taken = false;
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress("127.0.0.1", port), 1000);
             StringBuilder head = new StringBuilder("POST " + path + " HTTP/1.1\r\nhost: 127.0.0.1:" + port + "\r\ncontent-length: "
@@ -257,6 +261,7 @@
             System.arraycopy(body, 0, request, headBytes.length, body.length);
             socket.getOutputStream().write(request);
             socket.getOutputStream().flush();
+            taken = true;
             long deadline = System.nanoTime() + waitMillis * 1_000_000L;
             InputStream in = socket.getInputStream();
             byte[] buffer = new byte[8192];
@@ -282,7 +287,7 @@
         } catch (IOException e) {
             detail = e.getMessage();
         }
-        return new Answer(0, detail, "", now());
+        return new Answer(0, taken, detail, "", now());
     }
 
     private Answer parse(ByteArrayOutputStream received) {
@@ -296,7 +301,7 @@
         if (text.length() < end + 4 + bodyLength) {
             return null;
         }
-        return new Answer(Integer.parseInt(text.substring(9, 12)), "", text.substring(end + 4, end + 4 + bodyLength), now());
+        return new Answer(Integer.parseInt(text.substring(9, 12)), true, "", text.substring(end + 4, end + 4 + bodyLength), now());
     }
 
     /** The lines of the stand-ins' transcript of one kind, as they were written. */
