--- a/review/lib-2/Fleet.java
+++ b/review/lib-2/Fleet.java
@@ -14,9 +14,16 @@
     final Kit.StandIns standIns;
     final WebhookKey key;
     String extraSettings = "";
+    /** Where answers by webhook go; the stand-ins' receiver where it is null. */
+    String answersTo;
 
     Fleet(int executors) throws IOException {
-        standIns = new Kit.StandIns("{\"executors\": " + executors + ", \"work_ms\": 20, \"machine\": {\"cores\": 4, \"memory_mb\": 4000}, "
+        this(executors, executors);
+    }
+
+    /** @param listed how many of the executors discovery lists at first */
+    Fleet(int executors, int listed) throws IOException {
+        standIns = new Kit.StandIns("{\"executors\": " + executors + ", \"listed\": " + listed + ", \"work_ms\": 20, \"machine\": {\"cores\": 4, \"memory_mb\": 4000}, "
                 + GROUPS + "}");
         key = Kit.newKey("yard.key");
         Kit.newKey("peers.key");
@@ -32,7 +39,8 @@
         StringBuilder text = new StringBuilder("{\"name\": \"" + frontEnd.name + "\", \"listen\": \"127.0.0.1:" + frontEnd.port
                 + "\", \"admin\": \"127.0.0.1:" + frontEnd.adminPort + "\", \"tier\": {\"me\": " + index + ", \"front_ends\": " + count
                 + "}, \"roster\": {\"server\": \"http://127.0.0.1:" + standIns.rosterPort + "\"}, \"customers\": [{\"name\": \"yard\","
-                + " \"keys\": [{\"file\": \"yard.key\"}], \"answers_to\": \"http://127.0.0.1:" + standIns.controlPort + "/answers\"}], "
+                + " \"keys\": [{\"file\": \"yard.key\"}], \"answers_to\": \"" + (answersTo != null ? answersTo : "http://127.0.0.1:" + standIns.controlPort + "/answers")
+                + "\"}], "
                 + "\"ledger\": {\"folder\": \"" + frontEnd.name + ".ledger\", \"reserve_bytes\": 1048576}, " + GROUPS + extraSettings);
         if (members != null) {
             text.append(", \"peers\": {\"listen\": \"127.0.0.1:" + frontEnd.peersPort + "\", \"key\": {\"file\": \"peers.key\"}, \"members\": ["
