--- a/review/lib-2/Fleet.java
+++ b/review/lib-2/Fleet.java
@@ -9,6 +9,7 @@
             + "{\"name\": \"lookup\", \"repeat\": \"retriable\", \"slo_ms\": 1200, \"route_timeout_ms\": 4000},"
             + "{\"name\": \"reserve\", \"repeat\": \"non-retriable\", \"slo_ms\": 800, \"route_timeout_ms\": 3000, \"value\": 3}],"
             + " \"models\": [{\"name\": \"lookup-*\", \"group\": \"lookup\", \"memory_mb\": 100, \"lanes\": 4, \"load_ms\": 50},"
+            + "{\"name\": \"hull-*\", \"group\": \"reserve\", \"memory_mb\": 400, \"lanes\": 2, \"load_ms\": 1100},"
             + "{\"name\": \"reserve-*\", \"group\": \"reserve\", \"memory_mb\": 100, \"lanes\": 4, \"load_ms\": 50}]";
 
     final Kit.StandIns standIns;
