--- a/review/lib-2/Kit.java
+++ b/review/lib-2/Kit.java
@@ -22,7 +22,6 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -46,9 +45,8 @@
     /** With TROUBLE=0 a case leaves out its disruption. */
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
     static final Path ROOT = Path.of(System.getProperty("case.root")).toAbsolutePath();
-    static final Path FOLDER = Path.of(System.getProperty("case.folder")).toAbsolutePath();
     static final Path TEMP = Path.of(System.getProperty("case.temp")).toAbsolutePath();
-    private static final Path RECORD = FOLDER.resolve("record.txt");
+    private static final Path RECORD = Path.of(System.getProperty("case.record")).toAbsolutePath();
     private static final List<Process> PROCESSES = new ArrayList<>();
     static final ExecutorService THREADS = Executors.newCachedThreadPool(work -> {
         Thread thread = new Thread(work);
@@ -225,6 +223,31 @@
             }
         }
 
+        /** The index, in the stand-ins' order, of the executor that the latest forward of the model reached. */
+        int executorOf(String model) throws IOException, InterruptedException {
+            sleep(400); // the transcript is flushed every 100 ms
+            List<String> addresses = events("start").stream().map(line -> value(line, "ex")).distinct().toList();
+            String address = "";
+            for (String line : events("arrived")) {
+                address = value(line, "model").equals(model) ? value(line, "ex") : address;
+            }
+            if (!addresses.contains(address)) {
+                throw new CannotRun("no executor has " + model);
+            }
+            return addresses.indexOf(address);
+        }
+
+        /** When forwards of each message arrived at executors, Unix milliseconds, by customer/id. */
+        Map<String, List<Double>> arrivals() throws IOException, InterruptedException {
+            sleep(400);
+            Map<String, List<Double>> arrivals = new LinkedHashMap<>();
+            for (String line : events("arrived")) {
+                record("executor " + value(line, "ex") + ": " + value(line, "fwd") + " arrived from " + value(line, "fe"));
+                arrivals.computeIfAbsent(value(line, "mark"), key -> new ArrayList<>()).add(Double.parseDouble(value(line, "t")));
+            }
+            return arrivals;
+        }
+
         /** How often each message ran, by customer/id. */
         Map<String, Integer> runs() throws IOException, InterruptedException {
             sleep(400); // the transcript is flushed every 100 ms
@@ -304,7 +327,7 @@
     // ---- clients -----------------------------------------------------------------------------------------
 
     /** What a client got: an HTTP status, or 0 with what happened instead. */
-    record Answer(int status, Map<String, String> headers, String body, String failure, double atMillis) {
+    record Answer(int status, Map<String, String> headers, String body, String failure, double atMillis, long atUnixMillis) {
         boolean returned() {
             return status == 200;
         }
@@ -361,10 +384,10 @@
                 return answer;
             } catch (SocketTimeoutException e) {
                 record("from " + to + ": " + message.id() + " nothing within " + timeoutMillis + " ms");
-                return new Answer(0, Map.of(), "", "no answer within " + timeoutMillis + " ms", nowMillis());
+                return new Answer(0, Map.of(), "", "no answer within " + timeoutMillis + " ms", nowMillis(), System.currentTimeMillis());
             } catch (IOException e) {
                 record("from " + to + ": " + message.id() + " connection ended without an answer: " + e.getMessage());
-                return new Answer(0, Map.of(), "", "connection ended without an answer", nowMillis());
+                return new Answer(0, Map.of(), "", "connection ended without an answer", nowMillis(), System.currentTimeMillis());
             }
         }
 
@@ -381,7 +404,7 @@
                 headers.put(header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon + 1).strip());
             }
             byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
-            return new Answer(status, headers, new String(body, StandardCharsets.UTF_8), "", nowMillis());
+            return new Answer(status, headers, new String(body, StandardCharsets.UTF_8), "", nowMillis(), System.currentTimeMillis());
         }
 
         private String line() throws IOException {
@@ -407,13 +430,7 @@
             return connection.ask(message, timeoutMillis, extraHeaders);
         } catch (IOException e) {
             record(frontEnd.name + " cannot be reached: " + e.getMessage());
-            return new Answer(0, Map.of(), "", "not connected", nowMillis());
-        }
-    }
-
-    static void deleteTemp() throws IOException {
-        try (Stream<Path> files = Files.walk(TEMP)) {
-            files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+            return new Answer(0, Map.of(), "", "not connected", nowMillis(), System.currentTimeMillis());
         }
     }
 }
--- a/review/lib-2/run-case.sh
+++ b/review/lib-2/run-case.sh
@@ -1,14 +1,14 @@
 #!/bin/sh
-# run-case.sh FOLDER CLASS: runs a case with a temporary folder of its own; 1 broken, 0 held, 2 could not run.
+# run-case.sh CLASS RECORD: runs a case with a temporary folder of its own and writes its record; 1 broken, 0 held, 2 could not run.
 root="$(cd "$(dirname "$0")/../.." && pwd)"
-folder="$1"
-if [ ! -d "$root/review/lib-2/target" ] || [ ! -e "$root/cli/target/gradereach.jar" ]; then
-  echo "run review/build-2.sh first" >&2
+record="$2"
+if [ ! -e "$root/review/lib-2/target/$1.class" ] || [ ! -e "$root/cli/target/gradereach.jar" ]; then
+  echo "the case could not run: run review/build-2.sh first" | tee "$record" >&2
   exit 2
 fi
 temp="$(mktemp -d)" || exit 2
-java -Xmx256m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dcase.root="$root" -Dcase.folder="$folder" -Dcase.temp="$temp" \
-    -cp "$root/review/lib-2/target:$root/cli/target/gradereach.jar:$root/cli/target/lib/*" "$2" &
+java -Xmx256m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dcase.root="$root" -Dcase.record="$record" -Dcase.temp="$temp" \
+    -cp "$root/review/lib-2/target:$root/cli/target/gradereach.jar:$root/cli/target/lib/*" "$1" &
 pid=$!
 trap 'kill $pid 2>/dev/null' TERM INT HUP
 wait $pid
